platform: Serve the users' platform by a gateway of routes, shards and leafs

A first, thin whole path: strict HTTP edges on Boost.Beast's parser, routing tables and leafs from the store, one reducer for requests to one leaf or to one leaf of each shard, membership and peers as before.

--- /dev/null
+++ b/libraries/gateway/gateway.cpp
@@ -0,0 +1,299 @@
+#include "libraries/gateway/gateway.hpp"
+
+#include "libraries/gateway/events.hpp"
+
+#include <algorithm>
+
+namespace bulrushspring::gateway
+{
+namespace
+{
+
+exchange_step make_step(state& self, context& context)
+{
+    return {self.exchanges, self.pool, context};
+}
+
+// Each daemon takes its share of what the site may send beyond the first
+// requests. One that does not know its fleet yet takes none, and one that has
+// just started takes less: its former life may have spent some already.
+void set_budget(state& self, boot_time now)
+{
+    const auto seen = membership::view_of(self.members).members.size();
+    self.pool.fleet_size = std::max(self.pool.fleet_size, seen);
+    auto& limits = self.exchanges.settings.budget;
+    if (!membership::joined(self.members)) {
+        limits.slack = 0;
+        return;
+    }
+    const double age = static_cast<double>((now - self.started).count()) /
+                       static_cast<double>(limits.window.count());
+    limits.slack = self.settings.budget_slack * self.settings.budget_share *
+                   std::min(age, 1.0) /
+                   static_cast<double>(self.pool.fleet_size);
+}
+
+void apply(state& self, const topology::table_changed& change,
+           context& context)
+{
+    self.pool.table = change.now;
+    context.emit(limit_callers{change.now->limits});
+    if (!self.ready) {
+        self.ready = true;
+        context.log(make_record(gateway_ready,
+                                field("version", change.now->version),
+                                field("leafs", self.pool.leafs.size())));
+    }
+}
+
+void settle(state& self, topology::outcome& result, context& context)
+{
+    for (const auto& change : result.changes) {
+        if (const auto* table = std::get_if<topology::table_changed>(&change)) {
+            apply(self, *table, context);
+        } else if (const auto* leaf =
+                       std::get_if<topology::leaf_changed>(&change)) {
+            gateway::apply(self.pool, *leaf, context);
+        } else {
+            gateway::apply(self.pool, std::get<topology::leaf_gone>(change),
+                           context);
+        }
+    }
+    for (auto& call : result.calls) {
+        context.emit(call_store{std::move(call)});
+    }
+    membership::set_digest(self.members, topology::digest_of(self.topology));
+}
+
+template <typename Event>
+void to_topology(state& self, const Event& event, context& context)
+{
+    topology::outcome result;
+    topology::reduce(self.topology, event, result, context.shared);
+    settle(self, result, context);
+}
+
+void refuse(const forward_asked& event, verdict what, duration retry_after,
+            std::string_view reason, std::uint64_t version, context& context)
+{
+    context.log(make_record(request_refused,
+                            field("request", event.request->id),
+                            field("host", event.request->host),
+                            field("reason", reason), field("version", version)));
+    context.count(metrics::counter::answers_refused);
+    forward_answer answer;
+    answer.what = what;
+    answer.retry_after = retry_after;
+    context.emit(answer_forward{event.token, std::move(answer)});
+}
+
+void step(state& self, const tick& event, context& context)
+{
+    membership::reduce(self.members, event, context.shared);
+    to_topology(self, event, context);
+    set_budget(self, context.now);
+    maintain(self.pool, context);
+    auto exchanges = make_step(self, context);
+    act_on_timers(exchanges);
+}
+
+void step(state& self, const forward_asked& event, context& context)
+{
+    context.count(metrics::counter::caller_requests);
+    const auto& table = self.pool.table;
+    const duration soon = self.settings.start_retry_after;
+    if (!table) {
+        refuse(event, verdict::not_run, soon, "starting", 0, context);
+        return;
+    }
+    const auto* route = routing::find_route(
+        *table, event.request->host, http::path_of(event.request->target));
+    if (route == nullptr) {
+        // What is not known here may exist where the store was not heard of
+        // for a while.
+        const bool known = topology::fresh(self.topology, context.now);
+        refuse(event, known ? verdict::no_route : verdict::not_run, soon,
+               known ? "no_route" : "no_route_known", table->version, context);
+        return;
+    }
+    if (self.exchanges.exchanges.size() >=
+        self.exchanges.settings.most_exchanges) {
+        refuse(event, verdict::not_run, soon, "overloaded", table->version,
+               context);
+        return;
+    }
+    auto exchanges = make_step(self, context);
+    begin(exchanges, event.token, event.request, table, *route);
+}
+
+template <typename Event>
+void to_exchanges(state& self, const Event& event, context& context)
+{
+    auto exchanges = make_step(self, context);
+    reduce(exchanges, event);
+}
+
+void step(state& self, const caller_left& event, context& context)
+{
+    to_exchanges(self, event, context);
+}
+
+void step(state& self, const leaf_connected& event, context& context)
+{
+    to_exchanges(self, event, context);
+}
+
+void step(state& self, const leaf_replied& event, context& context)
+{
+    to_exchanges(self, event, context);
+}
+
+void step(state& self, const leaf_disconnected& event, context& context)
+{
+    to_exchanges(self, event, context);
+}
+
+void step(state& self, const entries_asked& event, context& context)
+{
+    auto known = membership::choose_entries(self.members, event.data_centre,
+                                            self.settings.most_entries);
+    if (!accepts_callers(self)) {
+        std::erase_if(known, [&](const auto& entry) {
+            return entry.name == membership::self_of(self.members).name;
+        });
+    }
+    const auto near = static_cast<std::size_t>(
+        std::count_if(known.begin(), known.end(), [&](const auto& entry) {
+            return entry.data_centre == event.data_centre;
+        }));
+    answer_entries answer{event.token, {}, self.settings.entries_hold};
+    for (const auto& entry : known) {
+        if (near < self.settings.enough_near ||
+            entry.data_centre == event.data_centre) {
+            answer.entries.push_back(entry.caller);
+        }
+    }
+    context.emit(std::move(answer));
+}
+
+void step(state& self, const topology::records_learned& event, context& context)
+{
+    to_topology(self, event, context);
+}
+
+void step(state& self, const topology::store_failed& event, context& context)
+{
+    to_topology(self, event, context);
+}
+
+void step(state& self, const datagram_received& event, context& context)
+{
+    membership::reduce(self.members, event, context.shared);
+    to_topology(self, event, context);
+}
+
+void step(state& self, const peer_asked& event, context& context)
+{
+    membership::reduce(self.members, event, context.shared);
+    to_topology(self, event, context);
+}
+
+void step(state& self, const peer_replied& event, context& context)
+{
+    membership::reduce(self.members, event, context.shared);
+    to_topology(self, event, context);
+}
+
+void step(state& self, const stop_requested& event, context& context)
+{
+    if (self.stop_asked) {
+        return;
+    }
+    self.stop_asked = context.now;
+    membership::reduce(self.members, event, context.shared);
+    context.emit(release_callers{});
+    context.log(make_record(
+        stop_begun, field("in_progress", in_progress(self)),
+        field("until_ms",
+              whole_milliseconds(self.settings.stop_grace -
+                                 self.settings.stop_reserve))));
+}
+
+// Once no caller can still hold this daemon's address and nothing is in
+// progress, or at the latest when the grace is nearly over.
+void finish_stop(state& self, context& context)
+{
+    if (!self.stop_asked || self.stopped) {
+        return;
+    }
+    const duration waited = context.now - *self.stop_asked;
+    const bool late =
+        waited >= self.settings.stop_grace - self.settings.stop_reserve;
+    const bool forgotten =
+        waited >= self.settings.entries_hold *
+                      (self.settings.hold_overrun + std::int64_t{1});
+    if (!late && !(forgotten && in_progress(self) == 0)) {
+        return;
+    }
+    self.stopped = true;
+    context.log(make_record(stop_done,
+                            field("waited_ms", whole_milliseconds(waited)),
+                            field("cut", in_progress(self))));
+    auto exchanges = make_step(self, context);
+    answer_all(exchanges);
+    context.shared.emit(stop_process{});
+}
+
+} // namespace
+
+state make_state(const wire::member_record& self, std::vector<endpoint> seeds,
+                 const options& settings, boot_time now)
+{
+    state made;
+    made.settings = settings;
+    made.started = now;
+    made.members = membership::make_state(self, std::move(seeds),
+                                          settings.membership, self.life, now);
+    made.topology =
+        topology::make_state(settings.topology, self.life + 1, now);
+    made.pool.settings = settings.pool;
+    made.pool.random.seed(self.life + 2);
+    made.pool.data_centre = self.data_centre;
+    made.pool.warm_at = now;
+    made.exchanges.settings = settings.exchanges;
+    return made;
+}
+
+void reduce(state& self, const any_event& what, context& context)
+{
+    // Timers that are due go first: a process that wakes late must learn how
+    // late it is before it takes in anything that came meanwhile.
+    if (!std::holds_alternative<tick>(what) &&
+        context.now >= next_wakeup(self)) {
+        step(self, tick{}, context);
+    }
+    std::visit([&](const auto& concrete) { step(self, concrete, context); },
+               what);
+    finish_stop(self, context);
+}
+
+boot_time next_wakeup(const state& self)
+{
+    boot_time next = std::min(membership::next_wakeup(self.members),
+                              topology::next_wakeup(self.topology));
+    next = std::min(next, next_wakeup(self.pool));
+    next = std::min(next, next_wakeup(self.exchanges));
+    return next;
+}
+
+bool accepts_callers(const state& self)
+{
+    return self.ready && !self.stop_asked;
+}
+
+std::size_t in_progress(const state& self)
+{
+    return self.exchanges.exchanges.size();
+}
+
+} // namespace bulrushspring::gateway
--- /dev/null
+++ b/libraries/gateway/gateway.hpp
@@ -0,0 +1,67 @@
+#ifndef BULRUSHSPRING_LIBRARIES_GATEWAY_GATEWAY_HPP
+#define BULRUSHSPRING_LIBRARIES_GATEWAY_GATEWAY_HPP
+
+#include "libraries/gateway/exchange.hpp"
+#include "libraries/membership/membership.hpp"
+
+#include <optional>
+
+// The join of the gateway's reducers: one daemon's decisions on the requests
+// of callers that speak plain HTTP.
+namespace bulrushspring::gateway
+{
+
+struct options {
+    pool_options pool;
+    exchange_options exchanges;
+    topology::options topology;
+    membership::options membership;
+    // The site's limit on extra requests to one service in a window; the
+    // daemons divide it.
+    double budget_slack = 0.0;
+    // Share of that limit that the fleet uses, for views that differ.
+    double budget_share = 0.85;
+    // How long callers may keep the list of daemons.
+    duration entries_hold = seconds{1};
+    // Some callers keep it this many times as long.
+    std::uint32_t hold_overrun = 3;
+    // From a stop's signal until the process is killed.
+    duration stop_grace = seconds{6};
+    // Kept back of that for the last answers.
+    duration stop_reserve = milliseconds{700};
+    // Callers of a data centre are kept in it while it has so many daemons.
+    std::size_t enough_near = 3;
+    std::size_t most_entries = 64;
+    // What a caller is told to wait before it asks a daemon that starts.
+    duration start_retry_after = milliseconds{50};
+};
+
+struct state {
+    options settings;
+    membership::state members;
+    topology::state topology;
+    leaf_pool pool;
+    exchanges_state exchanges;
+    boot_time started{};
+    bool ready = false; // a routing table is known
+    std::optional<boot_time> stop_asked;
+    bool stopped = false;
+};
+
+state make_state(const wire::member_record& self, std::vector<endpoint> seeds,
+                 const options& settings, boot_time now);
+
+// Takes one event in, with all that follows from it inside this process.
+void reduce(state&, const any_event&, context&);
+
+// When the next tick is due at the latest.
+boot_time next_wakeup(const state&);
+
+// Whether callers should be sent here.
+bool accepts_callers(const state&);
+
+std::size_t in_progress(const state&);
+
+} // namespace bulrushspring::gateway
+
+#endif
--- /dev/null
+++ b/libraries/gateway/leaf_pool.cpp
@@ -0,0 +1,374 @@
+#include "libraries/gateway/leaf_pool.hpp"
+
+#include "libraries/gateway/events.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bulrushspring::gateway
+{
+namespace
+{
+
+// How often idle connections and missing ones are looked at.
+constexpr milliseconds maintenance_interval{250};
+// First connections to leafs are spread over this time, daemon by daemon.
+constexpr milliseconds warm_spread{800};
+// Kept back of a leaf's idle timeout: the way of a request to it.
+constexpr milliseconds idle_margin{500};
+// Where a leaf did not say when it closes idle connections.
+constexpr seconds assumed_idle_timeout{60};
+// A request that must not run twice takes only connections that were in use
+// this short a while ago: older ones may have been closed at the other end.
+constexpr seconds proof_of_life{4};
+
+constexpr double avoided_cost = 1000.0;
+constexpr double unlisted_cost = 100000.0;
+constexpr double opening_cost = 1.0;
+constexpr double least_slowness = 0.2;
+constexpr double most_slowness = 30.0;
+constexpr double cold_cost = 0.6; // a cold leaf takes over half longer
+
+bool usable(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
+{
+    if (leaf.misdirected || leaf.published.draining) {
+        return false;
+    }
+    return leaf.listed || now - leaf.unlisted_at < pool.settings.lapse_hold;
+}
+
+std::uint32_t connection_share(const leaf_pool& pool, const leaf_state& leaf)
+{
+    std::uint32_t limit = 0;
+    if (pool.table) {
+        const auto found = pool.table->services.find(leaf.published.service);
+        if (found != pool.table->services.end()) {
+            limit = found->second.connection_limit;
+        }
+    }
+    if (limit == 0) {
+        return 1; // not in force yet: one connection to warm it
+    }
+    const double share = limit * pool.settings.connection_share /
+                         static_cast<double>(pool.fleet_size);
+    return std::clamp(static_cast<std::uint32_t>(share), 1U,
+                      pool.settings.most_connections);
+}
+
+double slowness_at(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
+{
+    const double halvings =
+        static_cast<double>((now - leaf.sampled_at).count()) /
+        static_cast<double>(pool.settings.deviation_half_life.count());
+    return 1.0 + (leaf.slowness - 1.0) * std::exp2(-halvings);
+}
+
+double cost_of(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
+{
+    double cost = slowness_at(pool, leaf, now) * (1.0 + leaf.in_flight);
+    if (leaf.published.data_centre != pool.data_centre) {
+        cost *= pool.settings.remote_factor;
+    }
+    if (leaf.idle.empty()) {
+        cost += opening_cost;
+    }
+    if (now < leaf.cold_until) {
+        cost += cold_cost;
+    }
+    if (now < leaf.avoid_until || now < leaf.open_after) {
+        cost += avoided_cost;
+    }
+    if (!leaf.listed) {
+        cost += unlisted_cost;
+    }
+    return cost;
+}
+
+connection_id open(leaf_pool& pool, leaf_state& leaf,
+                   std::optional<sending_id> sending, context& context)
+{
+    const auto id = context.shared.new_identifier<connection_id>();
+    pool.connections.emplace(raw(id), leaf_connection{leaf.published.id, false,
+                                                      sending, context.now});
+    ++leaf.connections;
+    ++pool.opening;
+    context.count(metrics::counter::connections_opened);
+    context.emit(open_leaf{id, leaf.published.address});
+    return id;
+}
+
+void remove_from_service(leaf_pool& pool, const leaf_state& leaf)
+{
+    auto& ids = pool.by_service[leaf.published.service];
+    std::erase(ids, leaf.published.id);
+    if (ids.empty()) {
+        pool.by_service.erase(leaf.published.service);
+    }
+}
+
+void drop_idle(leaf_pool& pool, leaf_state& leaf, context& context)
+{
+    const auto idle = leaf.idle;
+    for (const auto id : idle) {
+        drop(pool, id, context);
+    }
+}
+
+// A leaf that is gone for good: nothing of it is kept once no sending uses
+// it.
+bool forgettable(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
+{
+    return !leaf.listed && leaf.connections == 0 && leaf.in_flight == 0 &&
+           now - leaf.unlisted_at >= pool.settings.lapse_hold;
+}
+
+void maintain_leaf(leaf_pool& pool, leaf_state& leaf, context& context)
+{
+    if (!leaf.listed &&
+        context.now - leaf.unlisted_at >= pool.settings.lapse_hold) {
+        drop_idle(pool, leaf, context);
+        return;
+    }
+    if (!usable(pool, leaf, context.now)) {
+        drop_idle(pool, leaf, context);
+        return;
+    }
+    const auto idle = leaf.idle;
+    for (const auto id : idle) {
+        const auto& each = pool.connections.at(raw(id));
+        const duration limit = each.idle_timeout > duration{0}
+                                   ? each.idle_timeout
+                                   : duration{assumed_idle_timeout};
+        if (context.now - each.since > limit - idle_margin) {
+            drop(pool, id, context);
+        }
+    }
+    if (leaf.connections == 0 && leaf.listed &&
+        context.now >= leaf.open_after &&
+        pool.opening < pool.settings.most_opening) {
+        open(pool, leaf, std::nullopt, context);
+    }
+}
+
+void give_up_opening(leaf_pool& pool, context& context)
+{
+    std::vector<connection_id> late;
+    for (const auto& [id, each] : pool.connections) {
+        if (!each.open && !each.sending &&
+            context.now - each.since > pool.settings.open_timeout) {
+            late.push_back(connection_id{id});
+        }
+    }
+    for (const auto id : late) {
+        context.emit(close_leaf{id});
+        forget(pool, id, true, context);
+    }
+}
+
+} // namespace
+
+void apply(leaf_pool& pool, const topology::leaf_changed& change,
+           context& context)
+{
+    const auto& published = change.now;
+    auto [place, fresh] = pool.leafs.try_emplace(published.id);
+    auto& leaf = place->second;
+    const bool other_life = leaf.published.started != published.started ||
+                            leaf.published.address != published.address ||
+                            leaf.published.service != published.service;
+    if (!fresh && other_life) {
+        drop_idle(pool, leaf, context);
+        remove_from_service(pool, leaf);
+        leaf.slowness = 1.0;
+        leaf.misdirected = false;
+        leaf.failures = 0;
+        leaf.open_after = context.now;
+    }
+    if (fresh) {
+        const auto spread = random_below(
+            pool.random,
+            static_cast<std::uint64_t>(duration{warm_spread}.count()));
+        leaf.open_after =
+            context.now + duration{static_cast<std::int64_t>(spread)};
+    }
+    if (fresh || other_life) {
+        pool.by_service[published.service].push_back(published.id);
+    }
+    leaf.published = published;
+    leaf.listed = true;
+    leaf.cold_until = context.now + published.cold;
+}
+
+void apply(leaf_pool& pool, const topology::leaf_gone& change,
+           context& context)
+{
+    auto* leaf = find_leaf(pool, change.id);
+    if (leaf != nullptr && leaf->listed) {
+        leaf->listed = false;
+        leaf->unlisted_at = context.now;
+    }
+}
+
+leaf_state* choose(leaf_pool& pool, const std::string& service,
+                   std::span<const std::string> excluded, boot_time now)
+{
+    const auto found = pool.by_service.find(service);
+    if (found == pool.by_service.end()) {
+        return nullptr;
+    }
+    leaf_state* best = nullptr;
+    double best_cost = 0;
+    for (const auto& id : found->second) {
+        auto& leaf = pool.leafs.at(id);
+        if (!usable(pool, leaf, now) ||
+            std::find(excluded.begin(), excluded.end(), id) !=
+                excluded.end() ||
+            (leaf.idle.empty() &&
+             leaf.connections >= connection_share(pool, leaf))) {
+            continue;
+        }
+        // Equal leafs are drawn from, not taken in the order of their ids.
+        const double cost = cost_of(pool, leaf, now) *
+                            (1.0 + 0.1 * random_fraction(pool.random));
+        if (best == nullptr || cost < best_cost) {
+            best = &leaf;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+bool any_usable(const leaf_pool& pool, const std::string& service,
+                boot_time now)
+{
+    const auto found = pool.by_service.find(service);
+    return found != pool.by_service.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](const auto& id) {
+                           return usable(pool, pool.leafs.at(id), now);
+                       });
+}
+
+std::optional<connection_id> acquire(leaf_pool& pool, leaf_state& leaf,
+                                     sending_id sending, bool idempotent,
+                                     context& context)
+{
+    while (!leaf.idle.empty()) {
+        const auto id = leaf.idle.back();
+        auto& taken = pool.connections.at(raw(id));
+        if (!idempotent && context.now - taken.since > proof_of_life) {
+            drop(pool, id, context);
+            continue;
+        }
+        leaf.idle.pop_back();
+        taken.sending = sending;
+        return id;
+    }
+    if (leaf.connections >= connection_share(pool, leaf)) {
+        return std::nullopt;
+    }
+    return open(pool, leaf, sending, context);
+}
+
+void release(leaf_pool& pool, connection_id id, const leaf_reply& reply,
+             context& context)
+{
+    auto& connection = pool.connections.at(raw(id));
+    connection.sending.reset();
+    connection.since = context.now;
+    if (reply.idle_timeout > duration{0}) {
+        connection.idle_timeout = reply.idle_timeout;
+    }
+    pool.leafs.at(connection.leaf).idle.push_back(id);
+}
+
+void forget(leaf_pool& pool, connection_id id, bool failed, context& context)
+{
+    const auto found = pool.connections.find(raw(id));
+    if (found == pool.connections.end()) {
+        return;
+    }
+    if (!found->second.open) {
+        --pool.opening;
+    }
+    auto& leaf = pool.leafs.at(found->second.leaf);
+    std::erase(leaf.idle, id);
+    --leaf.connections;
+    if (failed) {
+        const auto doublings = std::min(leaf.failures, 6U);
+        ++leaf.failures;
+        leaf.open_after =
+            context.now + std::min(pool.settings.least_backoff *
+                                       (std::int64_t{1} << doublings),
+                                   pool.settings.most_backoff);
+        if (leaf.failures == 1) {
+            context.log(make_record(
+                leaf_unreachable, field("leaf", leaf.published.id),
+                field("service", leaf.published.service),
+                field("address", to_string(leaf.published.address))));
+        }
+    }
+    context.count(metrics::counter::connections_closed);
+    pool.connections.erase(found);
+}
+
+void drop(leaf_pool& pool, connection_id id, context& context)
+{
+    context.emit(close_leaf{id});
+    forget(pool, id, false, context);
+}
+
+void note_latency(leaf_state& leaf, duration seen, duration expected,
+                  const pool_options& settings, boot_time now)
+{
+    if (expected <= duration{0}) {
+        return;
+    }
+    const double ratio = std::clamp(static_cast<double>(seen.count()) /
+                                        static_cast<double>(expected.count()),
+                                    least_slowness, most_slowness);
+    const double halvings =
+        static_cast<double>((now - leaf.sampled_at).count()) /
+        static_cast<double>(settings.deviation_half_life.count());
+    const double before =
+        1.0 + (leaf.slowness - 1.0) * std::exp2(-halvings);
+    constexpr double weight_of_newest = 0.3;
+    leaf.slowness = before + weight_of_newest * (ratio - before);
+    leaf.sampled_at = now;
+}
+
+void avoid(leaf_state& leaf, boot_time until)
+{
+    leaf.avoid_until = std::max(leaf.avoid_until, until);
+}
+
+leaf_state* find_leaf(leaf_pool& pool, const std::string& id)
+{
+    const auto found = pool.leafs.find(id);
+    return found == pool.leafs.end() ? nullptr : &found->second;
+}
+
+void maintain(leaf_pool& pool, context& context)
+{
+    if (context.now < pool.warm_at) {
+        return;
+    }
+    pool.warm_at = context.now + maintenance_interval;
+    give_up_opening(pool, context);
+    for (auto it = pool.leafs.begin(); it != pool.leafs.end();) {
+        maintain_leaf(pool, it->second, context);
+        if (forgettable(pool, it->second, context.now)) {
+            remove_from_service(pool, it->second);
+            it = pool.leafs.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+boot_time next_wakeup(const leaf_pool& pool)
+{
+    return pool.warm_at;
+}
+
+} // namespace bulrushspring::gateway
--- /dev/null
+++ b/libraries/gateway/leaf_pool.hpp
@@ -0,0 +1,124 @@
+#ifndef BULRUSHSPRING_LIBRARIES_GATEWAY_LEAF_POOL_HPP
+#define BULRUSHSPRING_LIBRARIES_GATEWAY_LEAF_POOL_HPP
+
+#include "base/random.hpp"
+#include "libraries/gateway/effect.hpp"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+
+// The leafs of all services: what is believed of each, the connections kept
+// to it, and the choice between them.
+namespace bulrushspring::gateway
+{
+
+// One sending of a request to one leaf.
+enum class sending_id : std::uint64_t {};
+
+struct pool_options {
+    // An entry that vanished may have lapsed while the store was away, and is
+    // back about two seconds later: until then its leaf is a last resort.
+    duration lapse_hold = milliseconds{2000};
+    // Connections opening at a time, so that warming does not crowd out work.
+    std::uint32_t most_opening = 6;
+    // A connection attempt that takes longer is given up: a round trip within
+    // a region takes a few milliseconds.
+    duration open_timeout = milliseconds{250};
+    // What one daemon holds at most to a leaf, whatever its limit.
+    std::uint32_t most_connections = 4;
+    // Share of a leaf's connection limit that the fleet uses, so that views
+    // that differ and connections that linger at the leaf fit too.
+    double connection_share = 0.8;
+    duration least_backoff = milliseconds{50};
+    duration most_backoff = milliseconds{2000};
+    // How long a leaf is avoided after it refused, failed or fell silent.
+    duration refusal_penalty = milliseconds{100};
+    duration failure_penalty = milliseconds{500};
+    duration silence_penalty = milliseconds{200};
+    // How much worse a leaf of another data centre is, for its bytes cost.
+    double remote_factor = 1.3;
+    // Latency factors forget: half of a deviation is gone after this time
+    // without a new sample, so that a leaf that was slow is tried again.
+    duration deviation_half_life = seconds{2};
+};
+
+struct leaf_connection {
+    std::string leaf;
+    bool open = false;
+    std::optional<sending_id> sending; // that uses it or waits for it
+    boot_time since{};                 // opened, or last used
+    duration idle_timeout{0};          // at the leaf; 0: not known
+};
+
+struct leaf_state {
+    routing::leaf published;
+    bool listed = false;
+    boot_time unlisted_at{};
+    bool misdirected = false; // another server answers at its address
+    // Observed latency over the expected one; 1 is as expected.
+    double slowness = 1.0;
+    boot_time sampled_at{};
+    std::uint32_t in_flight = 0;
+    boot_time avoid_until{};
+    std::uint32_t failures = 0; // to connect, in a row
+    boot_time open_after{};
+    std::vector<connection_id> idle; // the one used last is at the back
+    std::uint32_t connections = 0;   // opening, idle and busy
+    boot_time cold_until{};
+};
+
+struct leaf_pool {
+    pool_options settings;
+    random_source random;
+    std::string data_centre; // this daemon's
+    std::map<std::string, leaf_state> leafs;
+    std::map<std::string, std::vector<std::string>> by_service;
+    std::unordered_map<std::uint64_t, leaf_connection> connections;
+    routing::table_pointer table;
+    std::uint32_t opening = 0;
+    std::size_t fleet_size = 1; // most daemons ever seen
+    boot_time warm_at{};
+};
+
+void apply(leaf_pool&, const topology::leaf_changed&, context&);
+void apply(leaf_pool&, const topology::leaf_gone&, context&);
+
+// The best leaf of a service that is not among the excluded ones; null if
+// there is none. Leafs that are avoided come last.
+leaf_state* choose(leaf_pool&, const std::string& service,
+                   std::span<const std::string> excluded, boot_time now);
+
+// Whether any leaf of the service might take a request now.
+bool any_usable(const leaf_pool&, const std::string& service, boot_time now);
+
+// Takes an idle connection to the leaf for a sending, or opens one that will
+// be the sending's; nothing if the leaf can have no further connection.
+std::optional<connection_id> acquire(leaf_pool&, leaf_state&, sending_id,
+                                     bool idempotent, context&);
+
+// The connection has answered and may be used again.
+void release(leaf_pool&, connection_id, const leaf_reply&, context&);
+
+// Forgets a connection that is gone; `failed` if it never opened.
+void forget(leaf_pool&, connection_id, bool failed, context&);
+
+// Closes a connection of this daemon's own accord.
+void drop(leaf_pool&, connection_id, context&);
+
+// The latency of an answer, beside what was expected of any leaf.
+void note_latency(leaf_state&, duration seen, duration expected,
+                  const pool_options&, boot_time now);
+void avoid(leaf_state&, boot_time until);
+
+leaf_state* find_leaf(leaf_pool&, const std::string& id);
+
+// Opens the first connections of leafs that have none, closes idle ones that
+// the leaf is about to close, and gives up connecting that takes too long.
+void maintain(leaf_pool&, context&);
+boot_time next_wakeup(const leaf_pool&);
+
+} // namespace bulrushspring::gateway
+
+#endif
--- /dev/null
+++ b/libraries/gateway_shell/runner.cpp
@@ -0,0 +1,357 @@
+#include "libraries/gateway_shell/runner.hpp"
+
+#include "libraries/gateway/events.hpp"
+#include "libraries/gateway_shell/events.hpp"
+
+#include <unistd.h>
+
+namespace bulrushspring::gateway_shell
+{
+namespace
+{
+
+// The most that a leaf's answer may take; callers are sent no more.
+constexpr http::size_limits leaf_limits{64 * 1024, 8 * 1024 * 1024};
+
+// A later life of a VM's daemon should have a higher number, so it is taken
+// from the time of day, once; membership mends it where that went back.
+incarnation new_incarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<incarnation>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+} // namespace
+
+runner::runner(const protocol& spoken, const clock& time)
+    : clock_(time), protocol_(spoken), base_(client::make_event_base()),
+      log_(STDOUT_FILENO, log_limits{}),
+      timer_(event_new(base_.get(), -1, 0, notice_time, this))
+{
+}
+
+result<std::unique_ptr<runner>>
+runner::start(const settings& settings, const protocol& spoken,
+              const make_store_function& make_store, const clock& time)
+{
+    std::unique_ptr<runner> made(new runner(spoken, time));
+    TRY(made->open(settings));
+    made->store_ =
+        make_store(made->base_.get(), [self = made.get()](auto what) {
+            self->post(std::move(what));
+        });
+    return made;
+}
+
+result<void> runner::open(const settings& settings)
+{
+    const shell::sink out{
+        [this](event what) { post_from_peer(std::move(what)); },
+        [this](const error& cause) { reject(cause); }, &metrics_};
+    TRY(datagrams,
+        shell::peer_datagrams::bind(base_.get(), settings.peers, out));
+    datagrams_ = std::move(datagrams);
+    TRY(streams, shell::peer_streams::listen(base_.get(),
+                                             datagrams_->address(), out));
+    streams_ = std::move(streams);
+    TRY(callers, serve_callers(settings.callers));
+    callers_ = std::move(callers);
+    TRY(directory, serve_directory(settings.directory));
+    directory_ = std::move(directory);
+    TRY(readiness, serve(settings.readiness, &runner::answer_readiness));
+    readiness_ = std::move(readiness);
+    TRY(metrics_page, serve(settings.metrics, &runner::answer_metrics));
+    metrics_page_ = std::move(metrics_page);
+    leafs_ = make_leaf_client();
+    make_state(settings);
+    return success();
+}
+
+void runner::make_state(const settings& settings)
+{
+    wire::member_record self;
+    self.name = settings.name;
+    self.data_centre = settings.data_centre;
+    self.region = settings.region;
+    self.peer = datagrams_->address();
+    self.caller = settings.callers;
+    self.operators = settings.metrics;
+    self.life = new_incarnation();
+    const auto now = clock_.now();
+    state_ = std::make_unique<gateway::state>(
+        gateway::make_state(self, settings.seeds, settings.gateway, now));
+    log_.write(make_record(gateway::gateway_started, field("name", self.name),
+                           field("data_centre", self.data_centre),
+                           field("incarnation", self.life),
+                           field("callers", to_string(self.caller)),
+                           field("peers", to_string(self.peer))),
+               now);
+}
+
+result<std::unique_ptr<http::server>>
+runner::serve(const endpoint& address,
+              http::response (runner::*answer)(const http::request&))
+{
+    http::server_events events;
+    auto made = std::make_shared<http::server*>(nullptr);
+    events.asked = [this, made, answer](caller_token token,
+                                        const http::request& asked) {
+        (*made)->respond(token, (this->*answer)(asked));
+    };
+    events.left = [](caller_token) {};
+    events.rejected = [](unsigned, const endpoint&) {};
+    TRY(listening, http::server::listen(base_.get(), address, events));
+    *made = listening.get();
+    return std::move(listening);
+}
+
+result<std::unique_ptr<http::server>>
+runner::serve_directory(const endpoint& address)
+{
+    http::server_events events;
+    events.asked = [this](caller_token token, const http::request& asked) {
+        if (auto question = protocol_.read_entries_question(token, asked)) {
+            post(std::move(*question));
+        } else {
+            directory_->respond(token, http::response{404, "", {}, ""});
+        }
+    };
+    events.left = [](caller_token) {};
+    events.rejected = [](unsigned, const endpoint&) {};
+    return http::server::listen(base_.get(), address, events);
+}
+
+result<std::unique_ptr<http::server>>
+runner::serve_callers(const endpoint& address)
+{
+    http::server_events events;
+    events.asked = [this](caller_token token, http::request asked) {
+        take_request(token, std::move(asked));
+    };
+    events.left = [this](caller_token token) { post(caller_left{token}); };
+    events.rejected = [this](unsigned status, const endpoint& peer) {
+        metrics::add(metrics_, metrics::counter::input_rejected);
+        log_.write(make_record(gateway::input_refused, field("status", status),
+                               field("peer", to_string(peer))),
+                   clock_.now());
+    };
+    return http::server::listen(base_.get(), address, events);
+}
+
+std::unique_ptr<http::client> runner::make_leaf_client()
+{
+    http::client_events events;
+    events.opened = [this](connection_id id) {
+        post(gateway::leaf_connected{id});
+    };
+    events.answered = [this](connection_id id, http::response answer,
+                             bool reusable) {
+        post(gateway::leaf_replied{
+            id, protocol_.read_reply(std::move(answer)), reusable});
+    };
+    events.closed = [this](connection_id id, error cause) {
+        post(gateway::leaf_disconnected{id, std::move(cause)});
+    };
+    return std::make_unique<http::client>(
+        base_.get(), leaf_limits, protocol_.correlation_header, events);
+}
+
+void runner::take_request(caller_token token, http::request message)
+{
+    auto request = protocol_.read_request(std::move(message));
+    if (!request) {
+        reject(request.error());
+        callers_->respond(token, http::response{400, "", {}, ""});
+        return;
+    }
+    post(gateway::forward_asked{token, std::move(request).value()});
+}
+
+http::response runner::answer_readiness(const http::request& asked)
+{
+    return protocol_.write_readiness(asked, gateway::accepts_callers(*state_));
+}
+
+http::response runner::answer_metrics(const http::request& asked)
+{
+    if (http::path_of(asked.target) != "/metrics") {
+        return http::response{404, "", {}, ""};
+    }
+    return http::response{200,
+                          "",
+                          {{"Content-Type", "text/plain; version=0.0.4"}},
+                          metrics::prometheus_text(metrics_)};
+}
+
+void runner::run()
+{
+    post(tick{});
+    event_base_dispatch(base_.get());
+    log_.flush();
+}
+
+void runner::note_settings(std::string_view outcome)
+{
+    log_.write(make_record(settings_read, field("outcome", outcome)),
+               clock_.now());
+}
+
+void runner::reject(const error& cause)
+{
+    metrics::add(metrics_, metrics::counter::input_rejected);
+    log_.write(make_record(input_unreadable, field("step", cause.step),
+                           field("peer", cause.peer),
+                           field("cause", cause.code.message() + " " +
+                                              cause.detail)),
+               clock_.now());
+}
+
+void runner::post_from_peer(event what)
+{
+    if (auto* datagram = std::get_if<datagram_received>(&what)) {
+        post(std::move(*datagram));
+    } else if (auto* asked = std::get_if<peer_asked>(&what)) {
+        post(std::move(*asked));
+    } else if (auto* replied = std::get_if<peer_replied>(&what)) {
+        take_records(*replied);
+    }
+}
+
+// A reply with published records is decoded here, at the edge.
+void runner::take_records(const peer_replied& replied)
+{
+    const auto* reply = replied.reply
+                            ? std::get_if<wire::records_reply>(
+                                  &replied.reply.value())
+                            : nullptr;
+    if (reply == nullptr) {
+        post(replied);
+        return;
+    }
+    topology::records_learned learned;
+    learned.source = "peer";
+    learned.revision = reply->revision;
+    learned.whole = reply->whole;
+    for (const auto& each : reply->records) {
+        learned.records.push_back(protocol_.decode_record(each));
+    }
+    post(std::move(learned));
+}
+
+void runner::post(gateway::any_event what)
+{
+    pending_.push_back(std::move(what));
+    if (!draining_) {
+        drain();
+    }
+}
+
+// Effects may bring new events at once; those wait in the queue until the
+// effects of the current one are carried out.
+void runner::drain()
+{
+    draining_ = true;
+    while (!pending_.empty()) {
+        const auto what = std::move(pending_.front());
+        pending_.pop_front();
+        effects_.clear();
+        shared_effects_.clear();
+        const auto now = clock_.now();
+        context shared{now, shared_effects_, last_identifier_};
+        gateway::context context{now, effects_, shared};
+        gateway::reduce(*state_, what, context);
+        for (auto& each : effects_) {
+            carry_out(each);
+        }
+        for (auto& each : shared_effects_) {
+            carry_out_shared(each);
+        }
+    }
+    draining_ = false;
+    arm_timer();
+}
+
+void runner::carry_out(gateway::effect& what)
+{
+    std::visit(
+        [this](auto& concrete) {
+            using kind = std::decay_t<decltype(concrete)>;
+            if constexpr (std::is_same_v<kind, gateway::open_leaf>) {
+                leafs_->open(concrete.connection, concrete.address);
+            } else if constexpr (std::is_same_v<kind, gateway::close_leaf>) {
+                leafs_->close(concrete.connection);
+            } else if constexpr (std::is_same_v<kind, gateway::send_to_leaf>) {
+                leafs_->send(concrete.connection,
+                             protocol_.write_leaf_request(concrete));
+            } else if constexpr (std::is_same_v<kind,
+                                                gateway::answer_forward>) {
+                callers_->respond(concrete.token,
+                                  protocol_.write_answer(concrete.answer));
+            } else if constexpr (std::is_same_v<kind,
+                                                gateway::answer_entries>) {
+                directory_->respond(concrete.token,
+                                    protocol_.write_entries(concrete));
+            } else if constexpr (std::is_same_v<kind, gateway::call_store>) {
+                store_(concrete.call);
+            } else if constexpr (std::is_same_v<kind,
+                                                gateway::limit_callers>) {
+                callers_->set_limits({{concrete.limits.header_bytes,
+                                       concrete.limits.body_bytes},
+                                      concrete.limits.header_timeout,
+                                      concrete.limits.idle_timeout});
+            } else {
+                static_assert(
+                    std::is_same_v<kind, gateway::release_callers>);
+                callers_->close_after_answers();
+            }
+        },
+        what);
+}
+
+void runner::carry_out_shared(effect& what)
+{
+    if (const auto* record = std::get_if<write_log>(&what)) {
+        log_.write(record->record, clock_.now());
+    } else if (const auto* count = std::get_if<add_to_counter>(&what)) {
+        metrics::add(metrics_, count->which, count->amount);
+    } else if (const auto* span = std::get_if<record_duration>(&what)) {
+        metrics::record(metrics_, span->which, span->value);
+    } else if (const auto* datagram = std::get_if<send_datagram>(&what)) {
+        datagrams_->carry_out(*datagram);
+    } else if (const auto* ask = std::get_if<ask_peer>(&what)) {
+        streams_->carry_out(*ask);
+    } else if (const auto* reply = std::get_if<reply_to_peer>(&what)) {
+        streams_->carry_out(*reply);
+    } else if (std::holds_alternative<stop_process>(what)) {
+        // A moment later, so that the last answers leave first.
+        const timeval moment = shell::to_timeval(milliseconds{100});
+        event_base_loopexit(base_.get(), &moment);
+    } else if (auto* raised = std::get_if<raise_event>(&what)) {
+        if (std::holds_alternative<stop_requested>(raised->what)) {
+            pending_.push_back(stop_requested{});
+        }
+    }
+}
+
+void runner::arm_timer()
+{
+    const boot_time due = gateway::next_wakeup(*state_);
+    if (due == armed_for_ && event_pending(timer_.get(), EV_TIMEOUT, nullptr)) {
+        return;
+    }
+    armed_for_ = due;
+    constexpr seconds longest_sleep{1};
+    const duration wait = std::min<duration>(due - clock_.now(), longest_sleep);
+    const timeval value = shell::to_timeval(wait);
+    event_add(timer_.get(), &value);
+}
+
+void runner::notice_time(evutil_socket_t /*socket*/, short /*what*/, void* self)
+{
+    auto& daemon = *static_cast<runner*>(self);
+    daemon.post(tick{});
+    daemon.log_.flush();
+}
+
+} // namespace bulrushspring::gateway_shell
--- /dev/null
+++ b/libraries/http/parser.cpp
@@ -0,0 +1,237 @@
+#include "libraries/http/parser.hpp"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace bulrushspring::http
+{
+namespace
+{
+
+namespace beast = boost::beast;
+
+progress to_progress(const beast::error_code& code)
+{
+    if (code == beast::http::error::need_more) {
+        return progress::need_more;
+    }
+    if (code == beast::http::error::header_limit) {
+        return progress::header_too_long;
+    }
+    if (code == beast::http::error::body_limit) {
+        return progress::body_too_long;
+    }
+    return progress::bad;
+}
+
+std::string text_of(beast::string_view view)
+{
+    return {view.data(), view.size()};
+}
+
+// What requests and answers have in common: headers and body are collected,
+// trailers are dropped.
+template <bool IsRequest>
+class collector : public beast::http::basic_parser<IsRequest>
+{
+public:
+    using message_type = std::conditional_t<IsRequest, request, response>;
+
+    explicit collector(const size_limits& limits)
+    {
+        this->eager(true);
+        this->header_limit(limits.header_bytes);
+        this->body_limit(limits.body_bytes);
+    }
+
+    progress feed(std::string_view bytes, std::size_t& used)
+    {
+        std::size_t offset = 0;
+        while (!this->is_done()) {
+            if (offset == bytes.size()) {
+                return progress::need_more;
+            }
+            beast::error_code code;
+            const auto taken =
+                this->put(boost::asio::const_buffer(bytes.data() + offset,
+                                                    bytes.size() - offset),
+                          code);
+            offset += taken;
+            used += taken;
+            begun = begun || taken > 0;
+            if (code) {
+                return to_progress(code);
+            }
+            if (taken == 0) {
+                return progress::need_more;
+            }
+        }
+        return progress::done;
+    }
+
+    message_type message;
+    bool header_done = false;
+    bool begun = false;
+
+protected:
+    void on_request_impl(beast::http::verb /*method*/,
+                         beast::string_view method_text,
+                         beast::string_view target, int version,
+                         beast::error_code& /*code*/) override
+    {
+        if constexpr (IsRequest) {
+            message.method = text_of(method_text);
+            message.target = text_of(target);
+            message.http_1_0 = version < 11;
+        }
+    }
+
+    void on_response_impl(int status, beast::string_view reason,
+                          int /*version*/, beast::error_code& /*code*/) override
+    {
+        if constexpr (!IsRequest) {
+            message.status = static_cast<unsigned>(status);
+            message.reason = text_of(reason);
+        }
+    }
+
+    void on_field_impl(beast::http::field /*name*/,
+                       beast::string_view name_text, beast::string_view value,
+                       beast::error_code& /*code*/) override
+    {
+        if (!header_done) {
+            message.headers.push_back({text_of(name_text), text_of(value)});
+        }
+    }
+
+    void on_header_impl(beast::error_code& code) override
+    {
+        header_done = true;
+        // Any transfer coding but "chunked" alone can't be undone here.
+        const auto coding = value_of(message.headers, "transfer-encoding");
+        if (!coding.empty() && (!same_name(coding, "chunked") ||
+                                count_of(message.headers,
+                                         "transfer-encoding") != 1)) {
+            code = beast::http::error::bad_transfer_encoding;
+        }
+        if (count_of(message.headers, "content-length") > 1) {
+            code = beast::http::error::bad_content_length;
+        }
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                           beast::error_code& /*code*/) override
+    {
+        if (length) {
+            message.body.reserve(static_cast<std::size_t>(*length));
+        }
+    }
+
+    std::size_t on_body_impl(beast::string_view body,
+                             beast::error_code& /*code*/) override
+    {
+        message.body.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t /*size*/,
+                              beast::string_view /*extensions*/,
+                              beast::error_code& /*code*/) override
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
+                                   beast::string_view body,
+                                   beast::error_code& /*code*/) override
+    {
+        message.body.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_finish_impl(beast::error_code& /*code*/) override {}
+};
+
+} // namespace
+
+struct request_parser::implementation : collector<true> {
+    using collector<true>::collector;
+};
+
+request_parser::request_parser(const size_limits& limits)
+    : parser_(std::make_unique<implementation>(limits))
+{
+}
+request_parser::~request_parser() = default;
+request_parser::request_parser(request_parser&&) noexcept = default;
+request_parser& request_parser::operator=(request_parser&&) noexcept = default;
+
+progress request_parser::take(std::string_view bytes, std::size_t& used)
+{
+    return parser_->feed(bytes, used);
+}
+
+bool request_parser::begun() const
+{
+    return parser_->begun;
+}
+
+bool request_parser::header_done() const
+{
+    return parser_->header_done;
+}
+
+bool request_parser::keep_alive() const
+{
+    return parser_->keep_alive();
+}
+
+request& request_parser::message()
+{
+    return parser_->message;
+}
+
+struct response_parser::implementation : collector<false> {
+    using collector<false>::collector;
+};
+
+response_parser::response_parser(const size_limits& limits, bool to_head)
+    : parser_(std::make_unique<implementation>(limits))
+{
+    parser_->skip(to_head);
+}
+response_parser::~response_parser() = default;
+response_parser::response_parser(response_parser&&) noexcept = default;
+response_parser&
+response_parser::operator=(response_parser&&) noexcept = default;
+
+progress response_parser::take(std::string_view bytes, std::size_t& used)
+{
+    return parser_->feed(bytes, used);
+}
+
+progress response_parser::take_end()
+{
+    if (!parser_->header_done || !parser_->need_eof()) {
+        return progress::bad;
+    }
+    beast::error_code code;
+    parser_->put_eof(code);
+    return code ? progress::bad : progress::done;
+}
+
+bool response_parser::begun() const
+{
+    return parser_->begun;
+}
+
+bool response_parser::keep_alive() const
+{
+    return parser_->keep_alive();
+}
+
+response& response_parser::message()
+{
+    return parser_->message;
+}
+
+} // namespace bulrushspring::http
--- a/libraries/wire/frame.cpp
+++ b/libraries/wire/frame.cpp
@@ -42,6 +42,27 @@
     archive(bounded_list<member_record>{reply.known, most_members});
 }
 
+template <typename Archive>
+void serialize(Archive& archive, published_record& record)
+{
+    archive(bounded_text{record.key, most_key_bytes},
+            varint{record.revision}, record.removed,
+            bounded_text{record.content, most_document_bytes});
+}
+
+template <typename Archive>
+void serialize(Archive& archive, records_request& request)
+{
+    archive(varint{request.after});
+}
+
+template <typename Archive>
+void serialize(Archive& archive, records_reply& reply)
+{
+    archive(varint{reply.revision}, reply.whole,
+            bounded_list<published_record>{reply.records, most_records});
+}
+
 namespace
 {
 
@@ -107,6 +128,11 @@
         archive(message);
         return message;
     }
+    if (tag == first_tag<Variant> + 2) {
+        std::variant_alternative_t<2, Variant> message;
+        archive(message);
+        return message;
+    }
     throw cereal::Exception("unknown kind of message");
 }
 
--- a/libraries/wire/frame.hpp
+++ b/libraries/wire/frame.hpp
@@ -27,6 +27,10 @@
 // The most members in a frame.
 inline constexpr std::size_t most_members = 16UL * 1024;
 
+// The most published records in a frame, and the longest key of one.
+inline constexpr std::size_t most_records = 64UL * 1024;
+inline constexpr std::size_t most_key_bytes = 256;
+
 // A whole frame, the length included. Fails with errc::too_large.
 result<std::string> encode(const peer_request& request);
 result<std::string> encode(const peer_reply& reply);
--- a/libraries/wire/message.hpp
+++ b/libraries/wire/message.hpp
@@ -116,8 +116,31 @@
     std::vector<member_record> known;
 };
 
-using peer_request = std::variant<documents_request, members_request>;
-using peer_reply = std::variant<documents_reply, members_reply>;
+// A record of what is published, as the sender knows it. Each change of any
+// record has a revision of its own, and they rise.
+struct published_record {
+    std::string key;
+    std::uint64_t revision = 0;
+    bool removed = false;
+    std::string content; // as published; empty for a removed one
+};
+
+// Over TCP: asks for the records that changed after a revision.
+struct records_request {
+    std::uint64_t after = 0;
+};
+
+// The sender knows every change up to `revision`. If `whole`, records that
+// are not named are gone; else only those named have changed.
+struct records_reply {
+    std::uint64_t revision = 0;
+    bool whole = false;
+    std::vector<published_record> records;
+};
+
+using peer_request =
+    std::variant<documents_request, members_request, records_request>;
+using peer_reply = std::variant<documents_reply, members_reply, records_reply>;
 
 } // namespace bulrushspring::wire
 
