gateway: Let few daemons read the store, place connections, back off from leafs that reset

Now three daemons a data centre read, the others fetch from peers what digests show; where a leaf's limit is below the fleet's size, each daemon holds connections to some leafs of a service, near ones first.

--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -358,6 +358,18 @@
     }
 }
 
+void note_reply(exchange_step& step, const sending& ended,
+                const leaf_reply& reply)
+{
+    const bool success = is_success(reply);
+    if (success) {
+        record_latency(step, ended);
+    }
+    if (auto* leaf = find_leaf(step.pool, ended.leaf)) {
+        note_outcome(*leaf, success, step.pool.settings, step.context.now);
+    }
+}
+
 // Closes the connections of answers that nobody waits for any more.
 void sweep(exchange_step& step)
 {
@@ -434,7 +446,6 @@
     connection.since = step.context.now;
     --step.pool.opening;
     auto& leaf = step.pool.leafs.at(connection.leaf);
-    leaf.failures = 0;
     if (!connection.sending) {
         leaf.idle.push_back(event.connection);
         return;
@@ -453,9 +464,7 @@
     }
     const sending_id id = *found->second.sending;
     const sending ended = take_sending(step, id);
-    if (is_success(event.reply)) {
-        record_latency(step, ended);
-    }
+    note_reply(step, ended, event.reply);
     if (event.reusable && !event.reply.leaving) {
         release(step.pool, event.connection, event.reply, step.context);
     } else if (event.reusable) {
@@ -475,7 +484,7 @@
         return;
     }
     const auto connection = found->second;
-    forget(step.pool, event.connection, !connection.open, step.context);
+    forget(step.pool, event.connection, !connection.answered, step.context);
     if (!connection.sending) {
         return;
     }
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "libraries/gateway/gateway.hpp"
 
+#include "libraries/configuration/readers.hpp"
 #include "libraries/gateway/events.hpp"
 
 #include <algorithm>
@@ -14,13 +15,43 @@
     return {self.exchanges, self.pool, context};
 }
 
+constexpr milliseconds review_interval{200};
+
+// Decides whether this daemon reads the store. Views of the fleet that differ
+// only cost a reader more.
+void review_reading(state& self, boot_time now)
+{
+    if (now < self.review_at) {
+        return;
+    }
+    self.review_at = now + review_interval;
+    const duration age = now - self.started;
+    bool reading = false;
+    if (!membership::joined(self.members) || self.members.isolated) {
+        reading = age >= self.settings.peer_patience;
+    } else {
+        const configuration::peers fleet{
+            membership::view_of(self.members).members,
+            membership::self_of(self.members)};
+        reading =
+            configuration::review_readers(fleet, self.settings.readers).reading;
+    }
+    reading = reading || (!self.ready && age >= self.settings.routes_patience);
+    topology::set_reading(self.topology, reading, now);
+}
+
 // Each daemon takes its share of what the site may send beyond the first
 // requests. One that does not know its fleet yet takes none, and one that has
 // just started takes less: its former life may have spent some already.
 void set_budget(state& self, boot_time now)
 {
-    const auto seen = membership::view_of(self.members).members.size();
-    self.pool.fleet_size = std::max(self.pool.fleet_size, seen);
+    const auto& live = membership::view_of(self.members).members;
+    const auto near = static_cast<std::size_t>(
+        std::count_if(live.begin(), live.end(), [&](const auto& member) {
+            return member.data_centre == self.pool.data_centre;
+        }));
+    self.pool.fleet_size = std::max(self.pool.fleet_size, live.size());
+    self.pool.near_size = std::max(self.pool.near_size, near);
     auto& limits = self.exchanges.settings.budget;
     if (!membership::joined(self.members)) {
         limits.slack = 0;
@@ -90,6 +121,7 @@
 void step(state& self, const tick& event, context& context)
 {
     membership::reduce(self.members, event, context.shared);
+    review_reading(self, context.now);
     to_topology(self, event, context);
     set_budget(self, context.now);
     maintain(self.pool, context);
@@ -258,6 +290,7 @@
         topology::make_state(settings.topology, self.life + 1, now);
     made.pool.settings = settings.pool;
     made.pool.random.seed(self.life + 2);
+    made.pool.name = self.name;
     made.pool.data_centre = self.data_centre;
     made.pool.warm_at = now;
     made.exchanges.settings = settings.exchanges;
@@ -281,6 +314,7 @@
 {
     boot_time next = std::min(membership::next_wakeup(self.members),
                               topology::next_wakeup(self.topology));
+    next = std::min(next, self.review_at);
     next = std::min(next, next_wakeup(self.pool));
     next = std::min(next, next_wakeup(self.exchanges));
     return next;
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -31,6 +31,13 @@
     duration stop_reserve = milliseconds{700};
     // Callers of a data centre are kept in it while it has so many daemons.
     std::size_t enough_near = 3;
+    // Daemons of each data centre that read the store; others learn from
+    // them. Several, since a reader may be killed or turned away.
+    std::size_t readers = 3;
+    // A daemon that knows no peer after this time, or no routes after
+    // `routes_patience`, reads the store whoever else does.
+    duration peer_patience = milliseconds{400};
+    duration routes_patience = milliseconds{1000};
     std::size_t most_entries = 64;
     // What a caller is told to wait before it asks a daemon that starts.
     duration start_retry_after = milliseconds{50};
@@ -43,6 +50,7 @@
     leaf_pool pool;
     exchanges_state exchanges;
     boot_time started{};
+    boot_time review_at{}; // of who reads the store
     bool ready = false; // a routing table is known
     std::optional<boot_time> stop_asked;
     bool stopped = false;
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -1,9 +1,11 @@
 #include "libraries/gateway/leaf_pool.hpp"
 
+#include "base/hash.hpp"
 #include "libraries/gateway/events.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace bulrushspring::gateway
 {
@@ -37,35 +39,86 @@
     return leaf.listed || now - leaf.unlisted_at < pool.settings.lapse_hold;
 }
 
-std::uint32_t connection_share(const leaf_pool& pool, const leaf_state& leaf)
+std::uint32_t connection_limit(const leaf_pool& pool, const leaf_state& leaf)
 {
-    std::uint32_t limit = 0;
-    if (pool.table) {
-        const auto found = pool.table->services.find(leaf.published.service);
-        if (found != pool.table->services.end()) {
-            limit = found->second.connection_limit;
-        }
+    if (!pool.table) {
+        return 0;
     }
+    const auto found = pool.table->services.find(leaf.published.service);
+    return found == pool.table->services.end()
+               ? 0
+               : found->second.connection_limit;
+}
+
+// Orders the leafs of a service for this daemon, best first: those that can't
+// be reached last, then near ones first where the leaf can take all daemons
+// of its data centre, then by hashes that spread daemons evenly.
+bool placed_before(const leaf_pool& pool, const leaf_state& left,
+                   const leaf_state& right, double share)
+{
+    constexpr std::uint32_t unreachable_after = 2;
+    const auto key = [&](const leaf_state& leaf) {
+        const bool unreachable = leaf.failures >= unreachable_after;
+        const bool near =
+            leaf.published.data_centre == pool.data_centre &&
+            static_cast<double>(pool.near_size) <= share * 0.6;
+        return std::tuple(unreachable, !near, leaf.placement);
+    };
+    return key(left) < key(right);
+}
+
+// How many connections this daemon may hold to a leaf, so that the fleet
+// keeps to the leaf's limit without asking one another. Where there are fewer
+// connections than daemons, each daemon gets some of the leafs.
+std::uint32_t connection_share(const leaf_pool& pool, const leaf_state& leaf,
+                               boot_time now)
+{
+    const auto limit = connection_limit(pool, leaf);
     if (limit == 0) {
-        return 1; // not in force yet: one connection to warm it
+        return 1; // its service is not in force yet: one to warm it
+    }
+    const double usable_limit = limit * pool.settings.connection_share;
+    const auto fleet = static_cast<double>(pool.fleet_size);
+    const double each = usable_limit / fleet;
+    if (each >= 1.0) {
+        return std::min(static_cast<std::uint32_t>(each),
+                        pool.settings.most_connections);
     }
-    const double share = limit * pool.settings.connection_share /
-                         static_cast<double>(pool.fleet_size);
-    return std::clamp(static_cast<std::uint32_t>(share), 1U,
-                      pool.settings.most_connections);
+    const auto& ids = pool.by_service.at(leaf.published.service);
+    std::uint32_t leafs = 0;
+    std::uint32_t before = 0;
+    for (const auto& id : ids) {
+        const auto& other = pool.leafs.at(id);
+        if (usable(pool, other, now)) {
+            ++leafs;
+            before += placed_before(pool, other, leaf, usable_limit) ? 1 : 0;
+        }
+    }
+    const auto chosen = static_cast<std::uint32_t>(usable_limit * leafs / fleet);
+    return before < std::max(chosen, 1U) ? 1 : 0;
+}
+
+double decayed(double value, boot_time since, boot_time now, duration half_life)
+{
+    const double halvings = static_cast<double>((now - since).count()) /
+                            static_cast<double>(half_life.count());
+    return value * std::exp2(-halvings);
 }
 
-double slowness_at(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
+double slowness_at(const pool_options& settings, const leaf_state& leaf,
+                   boot_time now)
 {
-    const double halvings =
-        static_cast<double>((now - leaf.sampled_at).count()) /
-        static_cast<double>(pool.settings.deviation_half_life.count());
-    return 1.0 + (leaf.slowness - 1.0) * std::exp2(-halvings);
+    return 1.0 + decayed(leaf.slowness - 1.0, leaf.sampled_at, now,
+                         settings.deviation_half_life);
 }
 
 double cost_of(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
 {
-    double cost = slowness_at(pool, leaf, now) * (1.0 + leaf.in_flight);
+    double cost =
+        slowness_at(pool.settings, leaf, now) * (1.0 + leaf.in_flight);
+    cost *= 1.0 + pool.settings.refusal_weight *
+                      decayed(leaf.refusals, leaf.refusals_at, now,
+                              pool.settings.refusal_half_life);
     if (leaf.published.data_centre != pool.data_centre) {
         cost *= pool.settings.remote_factor;
     }
@@ -88,8 +141,10 @@
                    std::optional<sending_id> sending, context& context)
 {
     const auto id = context.shared.new_identifier<connection_id>();
-    pool.connections.emplace(raw(id), leaf_connection{leaf.published.id, false,
-                                                      sending, context.now});
+    auto& opened = pool.connections[raw(id)];
+    opened.leaf = leaf.published.id;
+    opened.sending = sending;
+    opened.since = context.now;
     ++leaf.connections;
     ++pool.opening;
     context.count(metrics::counter::connections_opened);
@@ -145,7 +200,8 @@
     }
     if (leaf.connections == 0 && leaf.listed &&
         context.now >= leaf.open_after &&
-        pool.opening < pool.settings.most_opening) {
+        pool.opening < pool.settings.most_opening &&
+        connection_share(pool, leaf, context.now) > 0) {
         open(pool, leaf, std::nullopt, context);
     }
 }
@@ -190,6 +246,7 @@
             static_cast<std::uint64_t>(duration{warm_spread}.count()));
         leaf.open_after =
             context.now + duration{static_cast<std::int64_t>(spread)};
+        leaf.placement = stable_hash(published.id, stable_hash(pool.name));
     }
     if (fresh || other_life) {
         pool.by_service[published.service].push_back(published.id);
@@ -224,7 +281,7 @@
             std::find(excluded.begin(), excluded.end(), id) !=
                 excluded.end() ||
             (leaf.idle.empty() &&
-             leaf.connections >= connection_share(pool, leaf))) {
+             leaf.connections >= connection_share(pool, leaf, now))) {
             continue;
         }
         // Equal leafs are drawn from, not taken in the order of their ids.
@@ -264,7 +321,7 @@
         taken.sending = sending;
         return id;
     }
-    if (leaf.connections >= connection_share(pool, leaf)) {
+    if (leaf.connections >= connection_share(pool, leaf, context.now)) {
         return std::nullopt;
     }
     return open(pool, leaf, sending, context);
@@ -276,6 +333,8 @@
     auto& connection = pool.connections.at(raw(id));
     connection.sending.reset();
     connection.since = context.now;
+    connection.answered = true;
+    pool.leafs.at(connection.leaf).failures = 0;
     if (reply.idle_timeout > duration{0}) {
         connection.idle_timeout = reply.idle_timeout;
     }
@@ -327,16 +386,22 @@
     const double ratio = std::clamp(static_cast<double>(seen.count()) /
                                         static_cast<double>(expected.count()),
                                     least_slowness, most_slowness);
-    const double halvings =
-        static_cast<double>((now - leaf.sampled_at).count()) /
-        static_cast<double>(settings.deviation_half_life.count());
-    const double before =
-        1.0 + (leaf.slowness - 1.0) * std::exp2(-halvings);
+    const double before = slowness_at(settings, leaf, now);
     constexpr double weight_of_newest = 0.3;
     leaf.slowness = before + weight_of_newest * (ratio - before);
     leaf.sampled_at = now;
 }
 
+void note_outcome(leaf_state& leaf, bool ran, const pool_options& settings,
+                  boot_time now)
+{
+    constexpr double weight_of_newest = 0.2;
+    const double before = decayed(leaf.refusals, leaf.refusals_at, now,
+                                  settings.refusal_half_life);
+    leaf.refusals = before + weight_of_newest * ((ran ? 0.0 : 1.0) - before);
+    leaf.refusals_at = now;
+}
+
 void avoid(leaf_state& leaf, boot_time until)
 {
     leaf.avoid_until = std::max(leaf.avoid_until, until);
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -30,7 +30,7 @@
     std::uint32_t most_connections = 4;
     // Share of a leaf's connection limit that the fleet uses, so that views
     // that differ and connections that linger at the leaf fit too.
-    double connection_share = 0.8;
+    double connection_share = 0.85;
     duration least_backoff = milliseconds{50};
     duration most_backoff = milliseconds{2000};
     // How long a leaf is avoided after it refused, failed or fell silent.
@@ -42,11 +42,15 @@
     // Latency factors forget: half of a deviation is gone after this time
     // without a new sample, so that a leaf that was slow is tried again.
     duration deviation_half_life = seconds{2};
+    duration refusal_half_life = seconds{3};
+    // How much worse a leaf is that refuses everything.
+    double refusal_weight = 12.0;
 };
 
 struct leaf_connection {
     std::string leaf;
     bool open = false;
+    bool answered = false; // the leaf answered on it at least once
     std::optional<sending_id> sending; // that uses it or waits for it
     boot_time since{};                 // opened, or last used
     duration idle_timeout{0};          // at the leaf; 0: not known
@@ -60,6 +64,9 @@
     // Observed latency over the expected one; 1 is as expected.
     double slowness = 1.0;
     boot_time sampled_at{};
+    // Share of recent requests that it refused or failed, 0 to 1.
+    double refusals = 0.0;
+    boot_time refusals_at{};
     std::uint32_t in_flight = 0;
     boot_time avoid_until{};
     std::uint32_t failures = 0; // to connect, in a row
@@ -67,11 +74,14 @@
     std::vector<connection_id> idle; // the one used last is at the back
     std::uint32_t connections = 0;   // opening, idle and busy
     boot_time cold_until{};
+    // Where this daemon stands among those that want a connection to it.
+    std::uint64_t placement = 0;
 };
 
 struct leaf_pool {
     pool_options settings;
     random_source random;
+    std::string name;        // this daemon's
     std::string data_centre; // this daemon's
     std::map<std::string, leaf_state> leafs;
     std::map<std::string, std::vector<std::string>> by_service;
@@ -79,6 +89,7 @@
     routing::table_pointer table;
     std::uint32_t opening = 0;
     std::size_t fleet_size = 1; // most daemons ever seen
+    std::size_t near_size = 1;  // of those, in this daemon's data centre
     boot_time warm_at{};
 };
 
@@ -101,7 +112,8 @@
 // The connection has answered and may be used again.
 void release(leaf_pool&, connection_id, const leaf_reply&, context&);
 
-// Forgets a connection that is gone; `failed` if it never opened.
+// Forgets a connection that is gone; `failed` if it never served, which keeps
+// the next one back for a while.
 void forget(leaf_pool&, connection_id, bool failed, context&);
 
 // Closes a connection of this daemon's own accord.
@@ -110,6 +122,8 @@
 // The latency of an answer, beside what was expected of any leaf.
 void note_latency(leaf_state&, duration seen, duration expected,
                   const pool_options&, boot_time now);
+// Whether the leaf ran a request, for its share of refusals.
+void note_outcome(leaf_state&, bool ran, const pool_options&, boot_time now);
 void avoid(leaf_state&, boot_time until);
 
 leaf_state* find_leaf(leaf_pool&, const std::string& id);
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -201,7 +201,9 @@
     self.seen_revision = seen.manifest_version;
     self.seen_at = from.peer;
     if (!waiting) {
-        self.fetch_at = now + self.settings.peer_advantage;
+        self.fetch_at = now + (self.reading
+                                   ? self.settings.peer_advantage
+                                   : self.settings.peer_advantage_of_others);
     }
 }
 
@@ -233,7 +235,7 @@
 void reduce(state& self, const tick& /*event*/, outcome& result,
             context& context)
 {
-    if (!self.calling && context.now >= self.call_at) {
+    if (self.reading && !self.calling && context.now >= self.call_at) {
         call_store(self, result, context);
     }
     if (self.seen_revision > self.revision && !self.asking &&
@@ -319,6 +321,14 @@
     }
 }
 
+void set_reading(state& self, bool reading, boot_time now)
+{
+    if (reading && !self.reading) {
+        self.call_at = std::max(self.call_at, now);
+    }
+    self.reading = reading;
+}
+
 wire::digest digest_of(const state& self)
 {
     wire::digest digest;
@@ -328,7 +338,8 @@
 
 bool fresh(const state& self, boot_time now)
 {
-    if (self.answered_at == boot_time::min() || self.failures > 0) {
+    if (self.reading &&
+        (self.answered_at == boot_time::min() || self.failures > 0)) {
         return false;
     }
     return self.seen_revision <= self.revision ||
@@ -338,7 +349,7 @@
 boot_time next_wakeup(const state& self)
 {
     boot_time next = boot_time::max();
-    if (!self.calling) {
+    if (self.reading && !self.calling) {
         next = self.call_at;
     }
     if (self.seen_revision > self.revision && !self.asking) {
--- a/libraries/topology/topology.hpp
+++ b/libraries/topology/topology.hpp
@@ -76,6 +76,9 @@
     duration peer_time_limit = milliseconds{700};
     // With no answer from the store for so long, what is known may be old.
     duration fresh_for = milliseconds{1500};
+    // A daemon that leaves the reading to others takes what a peer shows
+    // after this time: the peers that it would ask change with each digest.
+    duration peer_advantage_of_others = milliseconds{5};
     // How long the revision of a removed record is remembered.
     duration removal_retention = seconds{60};
 };
@@ -94,6 +97,7 @@
     std::uint64_t forgotten = 0;  // no removal above it was forgotten
     routing::table_pointer table; // null until one is known
     // The store.
+    bool reading = false; // this daemon is one of those that read it
     bool calling = false;
     bool listed = false; // read whole since the history was last lost
     std::uint32_t failures = 0;
@@ -137,6 +141,10 @@
 // records_learned.
 void reduce(state&, const peer_replied&, outcome&, context&);
 
+// Whether this daemon is to read the store itself. The others learn from
+// peers; a call in progress is not broken off.
+void set_reading(state&, bool reading, boot_time now);
+
 // The revision known here, in the form that datagrams carry.
 wire::digest digest_of(const state&);
 
