gateway: Hold connections to services not in force yet within the tightest limit

Cause: leafs of a coming index were taken as unlimited, so 109 daemons opened a connection to each of them at once, above their limit of 106.

--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -52,6 +52,9 @@
         }));
     self.pool.fleet_size = std::max(self.pool.fleet_size, live.size());
     self.pool.near_size = std::max(self.pool.near_size, near);
+    self.pool.fleet_known =
+        membership::joined(self.members) ||
+        now - self.started >= self.settings.routes_patience;
     auto& limits = self.exchanges.settings.budget;
     if (!membership::joined(self.members)) {
         limits.slack = 0;
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -44,25 +44,56 @@
     if (!pool.table) {
         return 0;
     }
-    const auto found = pool.table->services.find(leaf.published.service);
-    return found == pool.table->services.end()
-               ? 0
-               : found->second.connection_limit;
+    const auto& services = pool.table->services;
+    const auto found = services.find(leaf.published.service);
+    if (found != services.end()) {
+        return found->second.connection_limit;
+    }
+    // Published before the table names its service: as tight as the tightest.
+    const auto tightest = std::min_element(
+        services.begin(), services.end(), [](const auto& one, const auto& two) {
+            return one.second.connection_limit < two.second.connection_limit;
+        });
+    return tightest == services.end() ? 0 : tightest->second.connection_limit;
 }
 
-// Orders the leafs of a service for this daemon, best first: those that can't
-// be reached last, then near ones first where the leaf can take all daemons
+double decayed(double value, boot_time since, boot_time now, duration half_life)
+{
+    const double halvings = static_cast<double>((now - since).count()) /
+                            static_cast<double>(half_life.count());
+    return value * std::exp2(-halvings);
+}
+
+double slowness_at(const pool_options& settings, const leaf_state& leaf,
+                   boot_time now)
+{
+    return 1.0 + decayed(leaf.slowness - 1.0, leaf.sampled_at, now,
+                         settings.deviation_half_life);
+}
+
+// Whether a daemon that has few leafs of a service had better have another.
+bool is_bad(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
+{
+    constexpr std::uint32_t unreachable_after = 2;
+    constexpr double slow = 3.0;
+    constexpr double refusing = 0.5;
+    return leaf.failures >= unreachable_after ||
+           slowness_at(pool.settings, leaf, now) > slow ||
+           decayed(leaf.refusals, leaf.refusals_at, now,
+                   pool.settings.refusal_half_life) > refusing;
+}
+
+// Orders the leafs of a service for this daemon, best first: bad ones last,
+// then near ones first where the leaf can take all daemons
 // of its data centre, then by hashes that spread daemons evenly.
 bool placed_before(const leaf_pool& pool, const leaf_state& left,
-                   const leaf_state& right, double share)
+                   const leaf_state& right, double share, boot_time now)
 {
-    constexpr std::uint32_t unreachable_after = 2;
     const auto key = [&](const leaf_state& leaf) {
-        const bool unreachable = leaf.failures >= unreachable_after;
         const bool near =
             leaf.published.data_centre == pool.data_centre &&
             static_cast<double>(pool.near_size) <= share * 0.6;
-        return std::tuple(unreachable, !near, leaf.placement);
+        return std::tuple(is_bad(pool, leaf, now), !near, leaf.placement);
     };
     return key(left) < key(right);
 }
@@ -75,7 +106,7 @@
 {
     const auto limit = connection_limit(pool, leaf);
     if (limit == 0) {
-        return 1; // its service is not in force yet: one to warm it
+        return 0; // no table is known
     }
     const double usable_limit = limit * pool.settings.connection_share;
     const auto fleet = static_cast<double>(pool.fleet_size);
@@ -91,27 +122,14 @@
         const auto& other = pool.leafs.at(id);
         if (usable(pool, other, now)) {
             ++leafs;
-            before += placed_before(pool, other, leaf, usable_limit) ? 1 : 0;
+            before += placed_before(pool, other, leaf, usable_limit, now) ? 1
+                                                                          : 0;
         }
     }
     const auto chosen = static_cast<std::uint32_t>(usable_limit * leafs / fleet);
     return before < std::max(chosen, 1U) ? 1 : 0;
 }
 
-double decayed(double value, boot_time since, boot_time now, duration half_life)
-{
-    const double halvings = static_cast<double>((now - since).count()) /
-                            static_cast<double>(half_life.count());
-    return value * std::exp2(-halvings);
-}
-
-double slowness_at(const pool_options& settings, const leaf_state& leaf,
-                   boot_time now)
-{
-    return 1.0 + decayed(leaf.slowness - 1.0, leaf.sampled_at, now,
-                         settings.deviation_half_life);
-}
-
 double cost_of(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
 {
     double cost =
@@ -198,7 +216,7 @@
             drop(pool, id, context);
         }
     }
-    if (leaf.connections == 0 && leaf.listed &&
+    if (pool.fleet_known && leaf.connections == 0 && leaf.listed &&
         context.now >= leaf.open_after &&
         pool.opening < pool.settings.most_opening &&
         connection_share(pool, leaf, context.now) > 0) {
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -91,6 +91,7 @@
     std::size_t fleet_size = 1; // most daemons ever seen
     std::size_t near_size = 1;  // of those, in this daemon's data centre
     boot_time warm_at{};
+    bool fleet_known = false; // until then no connection is opened ahead
 };
 
 void apply(leaf_pool&, const topology::leaf_changed&, context&);
