--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -153,8 +153,7 @@
 void server::reject(connection& from, unsigned status)
 {
     events_.rejected(status, from.peer);
-    from.to_head = false;
-    write(from, response{status, "", {}, ""}, true);
+    write(from, render(response{status, "", {}, ""}, true, false), true);
 }
 
 void server::respond(caller_token token, const response& answer)
@@ -164,15 +163,31 @@
         return;
     }
     auto& to = *found->second;
-    write(to, answer, to.close || closing_);
+    const bool close = to.close || closing_;
+    write(to, render(answer, close, to.to_head), close);
 }
 
-void server::write(connection& to, const response& answer, bool close)
+void server::respond_raw(caller_token token, std::string_view bytes, bool close)
+{
+    const auto found = open_.find(raw(token));
+    if (found != open_.end() && found->second->now == phase::answering) {
+        write(*found->second, bytes, close);
+    }
+}
+
+void server::drop(caller_token token)
+{
+    const auto found = open_.find(raw(token));
+    if (found != open_.end()) {
+        end(*found->second);
+    }
+}
+
+void server::write(connection& to, std::string_view bytes, bool close)
 {
     to.close = close;
-    const std::string text = render(answer, close, to.to_head);
     to.now = phase::flushing;
-    bufferevent_write(to.buffer.get(), text.data(), text.size());
+    bufferevent_write(to.buffer.get(), bytes.data(), bytes.size());
     // A caller that doesn't read is given up like one that is idle.
     const timeval limit = shell::to_timeval(limits_.idle_timeout);
     bufferevent_set_timeouts(to.buffer.get(), nullptr, &limit);
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -50,6 +50,13 @@
     // Nothing happens if the caller has left.
     void respond(caller_token token, const response& answer);
 
+    // Sends bytes as they are in place of an answer, and then closes the
+    // connection if told to: for stand-ins that misbehave.
+    void respond_raw(caller_token token, std::string_view bytes, bool close);
+
+    // Closes the connection without an answer.
+    void drop(caller_token token);
+
     std::size_t connections() const { return open_.size(); }
 
 private:
@@ -69,7 +76,7 @@
     void take_input(connection& from);
     void take_request(connection& from);
     void reject(connection& from, unsigned status);
-    void write(connection& to, const response& answer, bool close);
+    void write(connection& to, std::string_view bytes, bool close);
     void pass_timeout(connection& from);
     void await_request(connection& from);
     void end(connection& ended);
--- /dev/null
+++ b/tests/platform/records_test.cpp
@@ -0,0 +1,105 @@
+#include "platform/records.hpp"
+
+#include <absl/strings/escaping.h>
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushspring;
+
+namespace
+{
+
+topology::record_content content_of(const std::string& key,
+                                    const std::string& text)
+{
+    return platform::decode({key, 1, false, text}).content;
+}
+
+const std::string leaf =
+    R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1",)"
+    R"("slots":3,"state":"ready","coldRemainingMs":500,"sequence":4})";
+
+const std::string table =
+    R"({"version":7,"routes":[)"
+    R"({"name":"q","host":"h","prefix":"/q/","kind":"safe","timeoutMs":1000,)"
+    R"("targetLatencyMs":60,"priority":2,"gather":["a","b"],"maxAttempts":2,)"
+    R"("topK":5,"minCoverage":0.75},)"
+    R"({"name":"w","host":"h","prefix":"/w/","kind":"unsafe",)"
+    R"("timeoutMs":1000,"targetLatencyMs":60,"priority":1,"maxAttempts":1,)"
+    R"("trafficSplit":[{"service":"a","weight":1},)"
+    R"({"service":"b","weight":3}]}],)"
+    R"("services":[{"name":"a","healthPath":"/health","maxConnections":66}],)"
+    R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,)"
+    R"("headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_leafs_entry_is_read)
+{
+    const auto content = content_of("servers/i-1", leaf);
+    const auto& read = std::get<routing::leaf>(content);
+    BOOST_TEST(read.id == "i-1");
+    BOOST_TEST(read.service == "s");
+    BOOST_TEST(!read.draining);
+    BOOST_TEST((read.cold == milliseconds{500}));
+}
+
+// Each entry spoilt in one way names no leaf.
+BOOST_AUTO_TEST_CASE(spoilt_entries_name_no_leaf)
+{
+    const std::vector<std::pair<std::string, std::string>> changes = {
+        {"\"ready\"", "\"resting\""}, {"\"ready\"", "5"},
+        {"10.128.0.9:8080", "nowhere"}, {"\"slots\":3", "\"slots\":\"x\""},
+        {"\"service\":\"s\",", ""},   {"{", ""},
+        {"\"s\"", "\"\xff\""},
+    };
+    for (const auto& [from, to] : changes) {
+        std::string text = leaf;
+        text.replace(text.find(from), from.size(), to);
+        const auto content = content_of("servers/i-1", text);
+        BOOST_TEST(std::holds_alternative<topology::unreadable>(content),
+                   from << " -> " << to);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_routing_table_is_read)
+{
+    const auto content = content_of("op/config", table);
+    const auto& read = *std::get<routing::table_pointer>(content);
+    BOOST_TEST(read.version == 7U);
+    BOOST_REQUIRE_EQUAL(read.routes.size(), 2U);
+    BOOST_TEST(read.routes[0].idempotent);
+    BOOST_TEST(read.routes[0].shards.size() == 2U);
+    BOOST_TEST(read.routes[0].minimum_coverage == 0.75);
+    BOOST_TEST(!read.routes[1].idempotent);
+    BOOST_TEST(read.routes[1].services[1].weight == 3.0);
+    BOOST_TEST(read.services.at("a").connection_limit == 66U);
+    BOOST_TEST((read.limits.idle_timeout == seconds{15}));
+}
+
+BOOST_AUTO_TEST_CASE(a_spoilt_table_is_refused_whole)
+{
+    std::string text = table;
+    text.replace(text.find("\"gather\":[\"a\",\"b\"],"), 19, "");
+    BOOST_TEST(std::holds_alternative<topology::unreadable>(
+        content_of("op/config", text)));
+}
+
+BOOST_AUTO_TEST_CASE(pages_and_events_are_read)
+{
+    const auto value = absl::Base64Escape(leaf);
+    const auto page = platform::parse_items(
+        R"({"items":[{"key":"servers/a","value":")" + value +
+        R"(","revision":4,"created":1,"lease":9}],"morePages":true,)"
+        R"("storeRevision":9})");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page.value().more);
+    BOOST_TEST(page.value().revision == 9U);
+    BOOST_TEST(page.value().records[0].content == leaf);
+    const auto events = platform::parse_events(
+        R"({"events":[{"key":"servers/a","revision":5,"removed":true}],)"
+        R"("storeRevision":5})");
+    BOOST_REQUIRE(events.has_value());
+    BOOST_TEST(events.value().records[0].removed);
+    BOOST_TEST(!platform::parse_events("{}").has_value());
+    BOOST_TEST(!platform::parse_items("[").has_value());
+}
