gateway: Young daemons keep to two connections a service; more of the budget is used

Cause: after a loss of power the leafs still count the dead connections, and daemons that had not heard of the fleet yet opened up to four to each leaf. Now only leafs that never open count.

--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -446,6 +446,7 @@
     connection.since = step.context.now;
     --step.pool.opening;
     auto& leaf = step.pool.leafs.at(connection.leaf);
+    leaf.unreachable = 0;
     if (!connection.sending) {
         leaf.idle.push_back(event.connection);
         return;
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -55,6 +55,7 @@
     self.pool.fleet_known =
         membership::joined(self.members) ||
         now - self.started >= self.settings.routes_patience;
+    self.pool.young = now - self.started < self.settings.youth;
     auto& limits = self.exchanges.settings.budget;
     if (!membership::joined(self.members)) {
         limits.slack = 0;
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -19,8 +19,9 @@
     // The site's limit on extra requests to one service in a window; the
     // daemons divide it.
     double budget_slack = 0.0;
-    // Share of that limit that the fleet uses, for views that differ.
-    double budget_share = 0.85;
+    // Share of that limit that the fleet uses, for views that differ and
+    // clocks of windows that don't agree.
+    double budget_share = 0.95;
     // How long callers may keep the list of daemons.
     duration entries_hold = seconds{1};
     // Some callers keep it this many times as long.
@@ -38,6 +39,8 @@
     // `routes_patience`, reads the store whoever else does.
     duration peer_patience = milliseconds{400};
     duration routes_patience = milliseconds{1000};
+    // After this time a daemon has heard of the whole fleet.
+    duration youth = seconds{3};
     std::size_t most_entries = 64;
     // What a caller is told to wait before it asks a daemon that starts.
     duration start_retry_after = milliseconds{50};
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -12,7 +12,9 @@
 namespace
 {
 
-// How often idle connections and missing ones are looked at.
+// How often idle connections and missing ones are looked at: while some are
+// still to be opened, and else.
+constexpr milliseconds warming_interval{50};
 constexpr milliseconds maintenance_interval{250};
 // First connections to leafs are spread over this time, daemon by daemon.
 constexpr milliseconds warm_spread{800};
@@ -74,10 +76,11 @@
 // Whether a daemon that has few leafs of a service had better have another.
 bool is_bad(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
 {
+    constexpr std::uint32_t silent_after = 2;
     constexpr std::uint32_t unreachable_after = 2;
     constexpr double slow = 3.0;
     constexpr double refusing = 0.5;
-    return leaf.failures >= unreachable_after ||
+    return leaf.unreachable >= unreachable_after || leaf.silences >= silent_after ||
            slowness_at(pool.settings, leaf, now) > slow ||
            decayed(leaf.refusals, leaf.refusals_at, now,
                    pool.settings.refusal_half_life) > refusing;
@@ -111,7 +114,7 @@
     const double usable_limit = limit * pool.settings.connection_share;
     const auto fleet = static_cast<double>(pool.fleet_size);
     const double each = usable_limit / fleet;
-    if (each >= 1.0) {
+    if (each >= 1.0 && !pool.young) {
         return std::min(static_cast<std::uint32_t>(each),
                         pool.settings.most_connections);
     }
@@ -126,8 +129,12 @@
                                                                           : 0;
         }
     }
-    const auto chosen = static_cast<std::uint32_t>(usable_limit * leafs / fleet);
-    return before < std::max(chosen, 1U) ? 1 : 0;
+    const auto chosen =
+        std::max(static_cast<std::uint32_t>(usable_limit * leafs / fleet), 1U);
+    constexpr std::uint32_t chosen_by_young = 2; // one, and one to overtake it
+    return before < (pool.young ? std::min(chosen, chosen_by_young) : chosen)
+               ? 1
+               : 0;
 }
 
 double cost_of(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
@@ -352,11 +359,13 @@
     connection.sending.reset();
     connection.since = context.now;
     connection.answered = true;
-    pool.leafs.at(connection.leaf).failures = 0;
+    auto& leaf = pool.leafs.at(connection.leaf);
+    leaf.failures = 0;
+    leaf.silences = 0;
     if (reply.idle_timeout > duration{0}) {
         connection.idle_timeout = reply.idle_timeout;
     }
-    pool.leafs.at(connection.leaf).idle.push_back(id);
+    leaf.idle.push_back(id);
 }
 
 void forget(leaf_pool& pool, connection_id id, bool failed, context& context)
@@ -365,10 +374,11 @@
     if (found == pool.connections.end()) {
         return;
     }
+    auto& leaf = pool.leafs.at(found->second.leaf);
     if (!found->second.open) {
         --pool.opening;
+        leaf.unreachable += failed ? 1 : 0;
     }
-    auto& leaf = pool.leafs.at(found->second.leaf);
     std::erase(leaf.idle, id);
     --leaf.connections;
     if (failed) {
@@ -436,7 +446,6 @@
     if (context.now < pool.warm_at) {
         return;
     }
-    pool.warm_at = context.now + maintenance_interval;
     give_up_opening(pool, context);
     for (auto it = pool.leafs.begin(); it != pool.leafs.end();) {
         maintain_leaf(pool, it->second, context);
@@ -447,6 +456,8 @@
             ++it;
         }
     }
+    pool.warm_at = context.now + (pool.opening > 0 ? warming_interval
+                                                   : maintenance_interval);
 }
 
 boot_time next_wakeup(const leaf_pool& pool)
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -22,7 +22,7 @@
     // back about two seconds later: until then its leaf is a last resort.
     duration lapse_hold = milliseconds{2000};
     // Connections opening at a time, so that warming does not crowd out work.
-    std::uint32_t most_opening = 6;
+    std::uint32_t most_opening = 16;
     // A connection attempt that takes longer is given up: a round trip within
     // a region takes a few milliseconds.
     duration open_timeout = milliseconds{250};
@@ -41,7 +41,7 @@
     double remote_factor = 1.3;
     // Latency factors forget: half of a deviation is gone after this time
     // without a new sample, so that a leaf that was slow is tried again.
-    duration deviation_half_life = seconds{2};
+    duration deviation_half_life = seconds{4};
     duration refusal_half_life = seconds{3};
     // How much worse a leaf is that refuses everything.
     double refusal_weight = 12.0;
@@ -68,8 +68,10 @@
     double refusals = 0.0;
     boot_time refusals_at{};
     std::uint32_t in_flight = 0;
+    std::uint32_t silences = 0; // overtaken in a row, without an answer
     boot_time avoid_until{};
-    std::uint32_t failures = 0; // to connect, in a row
+    std::uint32_t failures = 0;    // connections in a row that never served
+    std::uint32_t unreachable = 0; // of those, in a row, that never opened
     boot_time open_after{};
     std::vector<connection_id> idle; // the one used last is at the back
     std::uint32_t connections = 0;   // opening, idle and busy
@@ -92,6 +94,9 @@
     std::size_t near_size = 1;  // of those, in this daemon's data centre
     boot_time warm_at{};
     bool fleet_known = false; // until then no connection is opened ahead
+    // A young daemon has not heard of all others yet, and keeps to what any
+    // daemon may have.
+    bool young = true;
 };
 
 void apply(leaf_pool&, const topology::leaf_changed&, context&);
--- a/libraries/gateway/sendings.cpp
+++ b/libraries/gateway/sendings.cpp
@@ -196,6 +196,7 @@
     const auto& first = step.self.sendings.at(raw(part.outstanding.front()));
     if (auto* silent = find_leaf(step.pool, first.leaf)) {
         avoid(*silent, now + step.pool.settings.silence_penalty);
+        ++silent->silences;
     }
     part.act_at = boot_time::max();
     if (!of.route->idempotent || leaf_limit_reached(of, part)) {
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -25,6 +25,7 @@
     pool.fleet_size = fleet;
     pool.near_size = near;
     pool.fleet_known = true;
+    pool.young = false;
     auto table = std::make_shared<routing::table>();
     table->services["s"] = {"s", "/health", connection_limit};
     pool.table = table;
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -47,7 +47,7 @@
 {
     std::string text = whole;
     text.replace(text.find("8226"), 4, "port");
-    text.replace(text.find("0.2"), 3, "-1");
+    text.replace(text.find("Ratio=0.2"), 9, "Ratio=-1");
     text.erase(text.find("zone=z1\n"), 8);
     platform::settings settings;
     const auto faults = platform::parse_settings(text, settings);
