gateway: Limit the requests in flight at each leaf by what it keeps up with

Cause: a shard that planned removals left with one leaf was offered more than it can do; its queue made every part late.

--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -366,7 +366,10 @@
         record_latency(step, ended);
     }
     if (auto* leaf = find_leaf(step.pool, ended.leaf)) {
-        note_outcome(*leaf, success, step.pool.settings, step.context.now);
+        const auto now = step.context.now;
+        note_outcome(*leaf, success, step.pool.settings, now);
+        adapt_limit(*leaf, success, now - ended.sent_at, ended.expected,
+                    step.pool.settings, now);
     }
 }
 
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -271,6 +271,7 @@
             static_cast<std::uint64_t>(duration{warm_spread}.count()));
         leaf.open_after =
             context.now + duration{static_cast<std::int64_t>(spread)};
+        leaf.limit.allowed = std::max(published.slots, 1U);
         leaf.placement = stable_hash(published.id, stable_hash(pool.name));
     }
     if (fresh || other_life) {
@@ -303,6 +304,7 @@
     for (const auto& id : found->second) {
         auto& leaf = pool.leafs.at(id);
         if (!usable(pool, leaf, now) ||
+            !limits::admits(leaf.limit, leaf.in_flight) ||
             std::find(excluded.begin(), excluded.end(), id) !=
                 excluded.end() ||
             (leaf.idle.empty() &&
@@ -430,6 +432,24 @@
     leaf.refusals_at = now;
 }
 
+void adapt_limit(leaf_state& leaf, bool ran, duration seen, duration expected,
+                 const pool_options& settings, boot_time now)
+{
+    if (!ran) {
+        limits::decrease(leaf.limit, limits::kept_after_shed, now);
+        return;
+    }
+    const double ratio = expected > duration{0}
+                             ? static_cast<double>(seen.count()) /
+                                   static_cast<double>(expected.count())
+                             : 1.0;
+    if (ratio > settings.queueing_factor) {
+        limits::decrease(leaf.limit, limits::kept_after_queue, now);
+    } else if (leaf.in_flight + 2 > leaf.limit.allowed) {
+        limits::increase(leaf.limit, settings.most_in_flight);
+    }
+}
+
 void avoid(leaf_state& leaf, boot_time until)
 {
     leaf.avoid_until = std::max(leaf.avoid_until, until);
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -3,6 +3,7 @@
 
 #include "base/random.hpp"
 #include "libraries/gateway/effect.hpp"
+#include "libraries/limits/concurrency_limit.hpp"
 
 #include <map>
 #include <optional>
@@ -43,6 +44,12 @@
     // without a new sample, so that a leaf that was slow is tried again.
     duration deviation_half_life = seconds{4};
     duration refusal_half_life = seconds{3};
+    // The most that one daemon has in flight at a leaf that keeps up. One
+    // that does not is left with one request of each daemon.
+    double most_in_flight = 8;
+    // An answer that took this many times the expected latency says that
+    // requests queue at the leaf.
+    double queueing_factor = 3.0;
     // How much worse a leaf is that refuses everything.
     double refusal_weight = 12.0;
 };
@@ -68,6 +75,7 @@
     double refusals = 0.0;
     boot_time refusals_at{};
     std::uint32_t in_flight = 0;
+    limits::concurrency_limit limit; // of in_flight
     std::uint32_t silences = 0; // overtaken in a row, without an answer
     boot_time avoid_until{};
     std::uint32_t failures = 0;    // connections in a row that never served
@@ -130,6 +138,10 @@
                   const pool_options&, boot_time now);
 // Whether the leaf ran a request, for its share of refusals.
 void note_outcome(leaf_state&, bool ran, const pool_options&, boot_time now);
+// Adapts the limit on requests in flight to an answer, to one that came late
+// or to a refusal.
+void adapt_limit(leaf_state&, bool ran, duration seen, duration expected,
+                 const pool_options&, boot_time now);
 void avoid(leaf_state&, boot_time until);
 
 leaf_state* find_leaf(leaf_pool&, const std::string& id);
--- a/tests/gateway/query_test.cpp
+++ b/tests/gateway/query_test.cpp
@@ -121,6 +121,30 @@
     BOOST_TEST(answer.retry_after.count() > 0);
 }
 
+// A leaf that is full is left with one request of this daemon at a time, so
+// that what it takes is answered in time.
+BOOST_FIXTURE_TEST_CASE(a_full_leaf_is_left_alone, bench)
+{
+    make_single_route(true, 1);
+    for (int i = 0; i < 10; ++i) {
+        ask("/s/x", milliseconds{50});
+        for (const auto& each : take<send_to_leaf>()) {
+            refuse(each);
+        }
+        pass(milliseconds{100});
+    }
+    effects.clear();
+    for (int i = 0; i < 5; ++i) {
+        ask("/s/x");
+    }
+    pass(milliseconds{20});
+    const auto sent = take<send_to_leaf>();
+    BOOST_REQUIRE_EQUAL(sent.size(), 1U);
+    reply(sent[0], "done");
+    pass(milliseconds{20});
+    BOOST_TEST(take<send_to_leaf>().size() >= 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(without_budget_nothing_is_sent_twice, bench_without_budget)
 {
     make_query_route(4);
