gateway: Connect to the services of a new table before it is in force; read the store at once without routes

A table now waits up to a sixth of the time that a change may take, until its leafs are reached. At second 34 starting daemons refused callers for 0.4 s while they waited for peers; they now read the store at once. A leaf that refused is sent the same request again only after a pause.

--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -12,9 +12,10 @@
     8001, severity::info, "gateway_started",
     "name data_centre incarnation callers peers",
     "The daemon listens at these addresses."};
-inline constexpr event_definition gateway_ready{
-    8002, severity::info, "gateway_ready", "version leafs",
-    "A routing table is known: callers are served from now on."};
+inline constexpr event_definition table_in_force{
+    8002, severity::info, "table_in_force", "version leafs",
+    "Requests are routed by this table from now on. With the first one, "
+    "callers are served."};
 inline constexpr event_definition stop_begun{
     8003, severity::info, "stop_begun", "in_progress until_ms",
     "A planned stop: the daemon is no longer named to callers and serves "
@@ -70,7 +71,7 @@
     "Bytes from a caller were no request, or over a limit."};
 
 inline constexpr std::array all_events = {
-    &gateway_started, &gateway_ready,   &stop_begun,       &stop_done,
+    &gateway_started, &table_in_force,  &stop_begun,       &stop_done,
     &request_refused, &request_answered, &second_sending,  &budget_spent,
     &leaf_refused,    &leaf_broke_off,  &part_missing,     &caller_gone,
     &sending_given_up, &leaf_unreachable, &input_refused,
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -26,7 +26,8 @@
     duration least_hedge_delay = milliseconds{3};
     // A request that waits for a connection this long goes elsewhere.
     duration connect_patience = milliseconds{25};
-    // Between two looks for a leaf where none can take a request.
+    // Between two looks for a leaf where none can take a request, and before
+    // a leaf that refused a request is sent it again.
     duration retry_pause = milliseconds{10};
     // How long an answer that nobody waits for may still take before its
     // connection is closed: after the caller has left, and after the leaf's
@@ -64,6 +65,7 @@
     std::vector<sending_id> outstanding;
     bool arrived = false; // a first sending left, later ones are extra
     boot_time act_at{};   // when a second sending or a new try is due
+    boot_time refused_at = boot_time::min(); // by a leaf, the last time
     leaf_reply reply;
 };
 
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -17,26 +17,24 @@
 
 constexpr milliseconds review_interval{200};
 
-// Decides whether this daemon reads the store. Views of the fleet that differ
-// only cost a reader more.
+// Decides whether this daemon reads the store. One that has no routes yet
+// does at once, whoever else reads, and so does one that hears of nobody.
+// Views of the fleet that differ only cost a reader more.
 void review_reading(state& self, boot_time now)
 {
     if (now < self.review_at) {
         return;
     }
     self.review_at = now + review_interval;
-    const duration age = now - self.started;
-    bool reading = false;
-    if (!membership::joined(self.members) || self.members.isolated) {
-        reading = age >= self.settings.peer_patience;
-    } else {
+    bool reading = !self.ready || self.members.isolated ||
+                   !membership::joined(self.members);
+    if (!reading) {
         const configuration::peers fleet{
             membership::view_of(self.members).members,
             membership::self_of(self.members)};
         reading =
             configuration::review_readers(fleet, self.settings.readers).reading;
     }
-    reading = reading || (!self.ready && age >= self.settings.routes_patience);
     topology::set_reading(self.topology, reading, now);
 }
 
@@ -54,7 +52,7 @@
     self.pool.near_size = std::max(self.pool.near_size, near);
     self.pool.fleet_known =
         membership::joined(self.members) ||
-        now - self.started >= self.settings.routes_patience;
+        now - self.started >= self.settings.peer_patience;
     self.pool.young = now - self.started < self.settings.youth;
     auto& limits = self.exchanges.settings.budget;
     if (!membership::joined(self.members)) {
@@ -68,16 +66,34 @@
                    static_cast<double>(self.pool.fleet_size);
 }
 
+void put_in_force(state& self, context& context)
+{
+    self.table = std::exchange(self.coming, nullptr);
+    context.emit(limit_callers{self.table->limits});
+    context.log(make_record(table_in_force,
+                            field("version", self.table->version),
+                            field("leafs", self.pool.leafs.size())));
+    self.ready = true;
+}
+
+// A table that names services not reached yet waits for connections to them,
+// so that a new set of shards does not begin with a crowd of cold requests.
 void apply(state& self, const topology::table_changed& change,
            context& context)
 {
-    self.pool.table = change.now;
-    context.emit(limit_callers{change.now->limits});
-    if (!self.ready) {
-        self.ready = true;
-        context.log(make_record(gateway_ready,
-                                field("version", change.now->version),
-                                field("leafs", self.pool.leafs.size())));
+    if (!self.coming) {
+        self.coming_by = context.now + self.settings.table_patience;
+    }
+    self.coming = change.now;
+    prepare_for(self.pool, change.now, context);
+}
+
+void review_table(state& self, context& context)
+{
+    if (self.coming &&
+        (!self.table || context.now >= self.coming_by ||
+         prepared_for(self.pool, *self.coming, context.now))) {
+        put_in_force(self, context);
     }
 }
 
@@ -97,6 +113,7 @@
     for (auto& call : result.calls) {
         context.emit(call_store{std::move(call)});
     }
+    review_table(self, context);
     membership::set_digest(self.members, topology::digest_of(self.topology));
 }
 
@@ -129,6 +146,7 @@
     to_topology(self, event, context);
     set_budget(self, context.now);
     maintain(self.pool, context);
+    review_table(self, context);
     auto exchanges = make_step(self, context);
     act_on_timers(exchanges);
 }
@@ -136,7 +154,7 @@
 void step(state& self, const forward_asked& event, context& context)
 {
     context.count(metrics::counter::caller_requests);
-    const auto& table = self.pool.table;
+    const auto& table = self.table;
     const duration soon = self.settings.start_retry_after;
     if (!table) {
         refuse(event, verdict::not_run, soon, "starting", 0, context);
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -35,10 +35,12 @@
     // Daemons of each data centre that read the store; others learn from
     // them. Several, since a reader may be killed or turned away.
     std::size_t readers = 3;
-    // A daemon that knows no peer after this time, or no routes after
-    // `routes_patience`, reads the store whoever else does.
-    duration peer_patience = milliseconds{400};
-    duration routes_patience = milliseconds{1000};
+    // A daemon that has heard of no peer after this time may be alone.
+    duration peer_patience = milliseconds{1000};
+    // How long a new routing table may wait until there are connections to
+    // the services that it names: a share of the time that the site allows
+    // for a change.
+    duration table_patience = milliseconds{500};
     // After this time a daemon has heard of the whole fleet.
     duration youth = seconds{3};
     std::size_t most_entries = 64;
@@ -52,6 +54,10 @@
     topology::state topology;
     leaf_pool pool;
     exchanges_state exchanges;
+    routing::table_pointer table; // in force
+    // Accepted, and in force as soon as its services can be reached.
+    routing::table_pointer coming;
+    boot_time coming_by{};
     boot_time started{};
     boot_time review_at{}; // of who reads the store
     bool ready = false; // a routing table is known
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -455,6 +455,47 @@
     leaf.avoid_until = std::max(leaf.avoid_until, until);
 }
 
+void prepare_for(leaf_pool& pool, const routing::table_pointer& table,
+                 context& context)
+{
+    pool.table = table;
+    for (auto& [id, leaf] : pool.leafs) {
+        if (leaf.connections == 0 && leaf.failures == 0 &&
+            table->services.count(leaf.published.service) > 0) {
+            leaf.open_after = context.now;
+        }
+    }
+    pool.warm_at = context.now;
+}
+
+bool prepared_for(const leaf_pool& pool, const routing::table& table,
+                  boot_time now)
+{
+    const auto reached = [&](const std::string& service) {
+        const auto found = pool.by_service.find(service);
+        if (found == pool.by_service.end()) {
+            return true;
+        }
+        const auto& ids = found->second;
+        const auto wants_first = [&](const auto& id) {
+            const auto& leaf = pool.leafs.at(id);
+            return leaf.idle.empty() && leaf.in_flight == 0 &&
+                   usable(pool, leaf, now) && leaf.failures == 0 &&
+                   connection_share(pool, leaf, now) > 0;
+        };
+        return std::none_of(ids.begin(), ids.end(), wants_first);
+    };
+    return std::all_of(
+        table.routes.begin(), table.routes.end(), [&](const auto& route) {
+            return std::all_of(route.shards.begin(), route.shards.end(),
+                               reached) &&
+                   std::all_of(route.services.begin(), route.services.end(),
+                               [&](const auto& part) {
+                                   return reached(part.service);
+                               });
+        });
+}
+
 leaf_state* find_leaf(leaf_pool& pool, const std::string& id)
 {
     const auto found = pool.leafs.find(id);
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -144,6 +144,14 @@
                  const pool_options&, boot_time now);
 void avoid(leaf_state&, boot_time until);
 
+// Takes the limits of a table, and opens connections to the services that it
+// names without delay.
+void prepare_for(leaf_pool&, const routing::table_pointer&, context&);
+
+// Whether each service that the table routes to can be reached at once, or
+// has no leaf to connect to.
+bool prepared_for(const leaf_pool&, const routing::table&, boot_time now);
+
 leaf_state* find_leaf(leaf_pool&, const std::string& id);
 
 // Opens the first connections of leafs that have none, closes idle ones that
--- a/libraries/gateway/sendings.cpp
+++ b/libraries/gateway/sendings.cpp
@@ -62,7 +62,8 @@
         }
     }
     const auto found = step.pool.by_service.find(part.service);
-    if (found == step.pool.by_service.end()) {
+    if (found == step.pool.by_service.end() ||
+        now - step.self.settings.retry_pause < part.refused_at) {
         return nullptr;
     }
     std::vector<std::string> excluded;
@@ -338,6 +339,7 @@
     }
     const auto now = step.context.now;
     if (fate == sending_fate::refused) {
+        part.refused_at = now;
         avoid(*leaf, now + step.pool.settings.refusal_penalty);
         step.context.count(metrics::counter::leaf_shed);
     } else if (fate == sending_fate::misdirected) {
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -18,6 +18,7 @@
                           "listen.directory=10.1.0.39:8225\n"
                           "seeds=10.1.0.39:8224,10.2.0.33:8224\n"
                           "bounds.graceS=6\n"
+                          "bounds.configApplyMs=3000\n"
                           "bounds.retryBudgetRatio=0.2\n"
                           "bounds.budgetWindowS=10\n"
                           "bounds.retryBudgetSlack=116\n"
@@ -40,6 +41,7 @@
     BOOST_TEST(settings.seeds.size() == 2U);
     BOOST_TEST(to_string(settings.store) == "10.200.1.7:8229");
     BOOST_TEST((settings.gateway.stop_grace == seconds{6}));
+    BOOST_TEST((settings.gateway.table_patience == milliseconds{500}));
     BOOST_TEST(settings.gateway.budget_slack == 116.0);
 }
 
