soak, lint: Free a relay's ended connections while others end; keep the platform's names in its folder

Cause: the relay's one timer for freeing was put off by every further end, so ended connections stayed open at the leaf while its answers were spoilt.

--- a/fakes/site/callers.cpp
+++ b/fakes/site/callers.cpp
@@ -13,7 +13,7 @@
 
 namespace names = platform::names;
 
-constexpr http::size_limits answer_limits{64 * 1024, 1024 * 1024};
+constexpr http::size_limits answer_limits{64U * 1024, 1024UL * 1024};
 constexpr std::size_t recent_requests = 100;
 constexpr std::size_t most_results = 5;
 constexpr milliseconds least_pause{2};
@@ -67,36 +67,35 @@
                      }
                  }
              }}),
-      resolver_(base, answer_limits, "",
-                {[this](connection_id id) {
-                     resolver_.send(id, {"GET",
-                                         "/resolve?name=site.example&region=r"
-                                         "&zone=dc-0",
-                                         {{"Host", "site.example"}},
-                                         ""});
-                 },
-                 [this](connection_id id, const http::response& answer, bool) {
-                     resolver_.close(id);
-                     const auto body = nlohmann::json::parse(
-                         answer.body, nullptr, false);
-                     if (answer.status != 200 || !body.contains("addrs")) {
-                         return;
-                     }
-                     usable_.clear();
-                     for (const auto& address : body["addrs"]) {
-                         for (std::size_t i = 0; i < site_.daemons.size();
-                              ++i) {
-                             if (to_string(site_.callers_of(
-                                     site_.daemons[i])) == address) {
-                                 usable_.push_back(i);
-                             }
-                         }
-                     }
-                 },
-                 [](connection_id, const error&) {}})
+      resolver_(
+          base, answer_limits, "",
+          {[this](connection_id id) {
+               resolver_.send(id, {"GET",
+                                   "/resolve?name=site.example&region=r"
+                                   "&zone=dc-0",
+                                   {{"Host", "site.example"}},
+                                   ""});
+           },
+           [this](connection_id id, const http::response& answer, bool) {
+               resolver_.close(id);
+               const auto body =
+                   nlohmann::json::parse(answer.body, nullptr, false);
+               if (answer.status != 200 || !body.contains("addrs")) {
+                   return;
+               }
+               usable_.clear();
+               for (const auto& address : body["addrs"]) {
+                   for (std::size_t i = 0; i < site_.daemons.size(); ++i) {
+                       if (to_string(site_.callers_of(site_.daemons[i])) ==
+                           address) {
+                           usable_.push_back(i);
+                       }
+                   }
+               }
+           },
+           [](connection_id, const error&) {}})
 {
-    resolve_timer_.reset(
-        event_new(base, -1, EV_PERSIST, resolve_again, this));
+    resolve_timer_.reset(event_new(base, -1, EV_PERSIST, resolve_again, this));
     const auto interval = shell::to_timeval(milliseconds{300});
     event_add(resolve_timer_.get(), &interval);
     for (std::size_t i = 0; i < count; ++i) {
@@ -129,8 +128,7 @@
     return site_.daemons[from.daemon];
 }
 
-void callers::take_turn(evutil_socket_t /*socket*/, short /*what*/,
-                        void* which)
+void callers::take_turn(evutil_socket_t /*socket*/, short /*what*/, void* which)
 {
     auto& from = *static_cast<caller*>(which);
     if (from.waiting) { // the answer is over its time
@@ -149,9 +147,9 @@
         recent_.erase(recent_.begin());
     }
     from.waiting = false;
-    const auto pause = least_pause + milliseconds{random_below(
-                                         random_, (most_pause - least_pause)
-                                                      .count())};
+    const auto pause =
+        least_pause +
+        milliseconds{random_below(random_, (most_pause - least_pause).count())};
     const auto until = shell::to_timeval(pause);
     event_add(from.next.get(), &until);
 }
@@ -211,13 +209,12 @@
     http_.open(from.connection, site_.callers_of(daemon_of(from)));
 }
 
-void callers::report(const caller& from, std::string what)
+void callers::report(const caller& from, const std::string& what)
 {
     violations_.push_back(
         what + ": request " +
         std::string(http::value_of(from.request.headers, names::request_id)) +
-        " " + from.request.target + " at " +
-        site_.daemons[from.daemon].name);
+        " " + from.request.target + " at " + site_.daemons[from.daemon].name);
 }
 
 // A daemon that only stops as planned cuts no request in progress.
@@ -264,8 +261,7 @@
     }
     const auto id =
         std::string(http::value_of(from.request.headers, names::request_id));
-    if (http::value_of(answer.headers, names::seal) !=
-            seal_of("single", id) ||
+    if (http::value_of(answer.headers, names::seal) != seal_of("single", id) ||
         answer.body != single_body("single", from.request)) {
         report(from, "not the leaf's own whole answer");
     }
@@ -286,9 +282,8 @@
         }
         bodies.push_back(shard_body(service, from.request.target));
     }
-    const auto missing =
-        std::stoul(std::string(
-            http::value_of(answer.headers, names::missing_parts)));
+    const auto missing = std::stoul(
+        std::string(http::value_of(answer.headers, names::missing_parts)));
     const auto& sets = site_.shard_sets();
     const bool of_one_version =
         std::any_of(sets.begin(), sets.end(), [&](const auto& set) {
@@ -329,8 +324,8 @@
         const auto found = site_.runs.find(id);
         if (found != site_.runs.end() && found->second > 1) {
             violations_.push_back("an order ran " +
-                                  std::to_string(found->second) + " times: " +
-                                  id);
+                                  std::to_string(found->second) +
+                                  " times: " + id);
         }
     }
     for (const auto& id : promised_not_run_) {
--- a/fakes/site/callers.hpp
+++ b/fakes/site/callers.hpp
@@ -59,7 +59,7 @@
     void check_probe(const caller& from, unsigned status);
     void note_cut(const caller& from);
     void end_turn(caller& from, bool success);
-    void report(const caller& from, std::string what);
+    void report(const caller& from, const std::string& what);
     daemon& daemon_of(const caller& from);
     static void take_turn(evutil_socket_t socket, short what, void* which);
     static void resolve_again(evutil_socket_t socket, short what, void* self);
--- a/fakes/site/leaf.cpp
+++ b/fakes/site/leaf.cpp
@@ -121,13 +121,13 @@
 
 void leaf::finish(const job& done)
 {
-    const auto id = std::string(
-        http::value_of(done.asked.headers, names::request_id));
+    const auto id =
+        std::string(http::value_of(done.asked.headers, names::request_id));
     http::response answer;
     answer.status = random_fraction(random_) < faults.fail ? 500 : 200;
-    answer.headers = {{std::string(names::request_id), id},
-                      {std::string(names::seal),
-                       seal_of(options_.service, id)}};
+    answer.headers = {
+        {std::string(names::request_id), id},
+        {std::string(names::seal), seal_of(options_.service, id)}};
     const bool shard = http::path_of(done.asked.target).rfind("/q/", 0) == 0;
     answer.body = shard ? shard_body(options_.service, done.asked.target)
                         : single_body(options_.service, done.asked);
--- a/fakes/site/leaf.hpp
+++ b/fakes/site/leaf.hpp
@@ -26,11 +26,11 @@
 
 // What a leaf may do wrong, as shares of its requests from 0 to 1.
 struct leaf_faults {
-    double refuse = 0;    // not run, and said so
-    double lose = 0;      // run, and no answer
-    double fail = 0;      // run, and an error
-    double truncate = 0;  // run, and half of the answer
-    double repeat = 0;    // run, and answered twice
+    double refuse = 0;   // not run, and said so
+    double lose = 0;     // run, and no answer
+    double fail = 0;     // run, and an error
+    double truncate = 0; // run, and half of the answer
+    double repeat = 0;   // run, and answered twice
     double slow_factor = 1;
 };
 
--- a/fakes/site/proxy.cpp
+++ b/fakes/site/proxy.cpp
@@ -32,9 +32,8 @@
         bufferevent_enable(side, EV_READ | EV_WRITE);
     }
     const auto to = shell::to_socket_address(owner.server_);
-    bufferevent_socket_connect(made.far.get(),
-                               reinterpret_cast<const sockaddr*>(&to),
-                               sizeof to);
+    bufferevent_socket_connect(
+        made.far.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to);
 }
 
 void proxy::set_mood(link_mood mood, duration delay)
@@ -112,13 +111,16 @@
         const auto socket = bufferevent_getfd(side);
         if (reset && socket >= 0) {
             const linger at_once{1, 0};
-            setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once,
-                       sizeof at_once);
+            setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
         }
     }
     const auto moment =
         shell::to_timeval(reset ? milliseconds{0} : milliseconds{50});
-    event_add(free_later_.get(), &moment);
+    // A pending timer is left as it is: one that is put off by each further
+    // end would free nothing while connections keep ending.
+    if (event_pending(free_later_.get(), EV_TIMEOUT, nullptr) == 0) {
+        event_add(free_later_.get(), &moment);
+    }
 }
 
 void proxy::free_ended(evutil_socket_t /*socket*/, short /*what*/, void* self)
--- a/fakes/site/site.cpp
+++ b/fakes/site/site.cpp
@@ -32,10 +32,10 @@
 
 json route_of(const std::string& name, const std::string& prefix, bool safe)
 {
-    return {{"name", name},         {"host", "site.example"},
-            {"prefix", prefix},     {"kind", safe ? "safe" : "unsafe"},
-            {"timeoutMs", 2000},    {"targetLatencyMs", 200},
-            {"maxAttempts", 2},     {"priority", 1}};
+    return {{"name", name},      {"host", "site.example"},
+            {"prefix", prefix},  {"kind", safe ? "safe" : "unsafe"},
+            {"timeoutMs", 2000}, {"targetLatencyMs", 200},
+            {"maxAttempts", 2},  {"priority", 1}};
 }
 
 std::string data_centre_of(std::size_t number)
@@ -217,8 +217,8 @@
             waitpid(each.process, &status, WNOHANG) == each.process) {
             const bool killed =
                 WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
-            const bool ended = WIFEXITED(status) && WEXITSTATUS(status) == 0 &&
-                               each.stopping;
+            const bool ended =
+                WIFEXITED(status) && WEXITSTATUS(status) == 0 && each.stopping;
             well = well && (killed || ended);
             each.process = -1;
         }
--- a/fakes/site/soak.cpp
+++ b/fakes/site/soak.cpp
@@ -8,7 +8,7 @@
 {
 
 constexpr seconds warm_up{3};
-constexpr seconds recovery_limit{12}; // as the users' rules bound it
+constexpr seconds recovery_limit{12};     // as the users' rules bound it
 constexpr milliseconds disturbance{4000}; // after which a daemon is calm again
 constexpr std::size_t recovered_successes = 90; // of the last 100 requests
 
@@ -45,9 +45,9 @@
 
     duration some(milliseconds least, milliseconds most)
     {
-        return least + milliseconds{random_below(
-                           random, static_cast<std::uint64_t>(
-                                       (most - least).count()))};
+        return least +
+               milliseconds{random_below(
+                   random, static_cast<std::uint64_t>((most - least).count()))};
     }
 
     std::size_t pick(std::size_t count) { return random_below(random, count); }
@@ -86,8 +86,8 @@
         }
         for (const auto& each : site.leafs) {
             if (each.server->connections() > site.connection_limit) {
-                report.violations.push_back(
-                    "over its connections: " + each.server->options().id);
+                report.violations.push_back("over its connections: " +
+                                            each.server->options().id);
             }
         }
     }
@@ -196,9 +196,8 @@
         }
         site.platform_store.set_mood(which == 1 ? store_mood::refusing
                                                 : store_mood::silent);
-        after(some(milliseconds{500}, milliseconds{3000}), [this] {
-            site.platform_store.set_mood(store_mood::well);
-        });
+        after(some(milliseconds{500}, milliseconds{3000}),
+              [this] { site.platform_store.set_mood(store_mood::well); });
     }
 
     void change_table()
--- a/fakes/site/store.cpp
+++ b/fakes/site/store.cpp
@@ -153,8 +153,7 @@
         return;
     }
     made.limit.reset(event_new(base_, -1, 0, pass_limit, &made));
-    const auto limit =
-        shell::to_timeval(milliseconds{number(asked, "waitMs")});
+    const auto limit = shell::to_timeval(milliseconds{number(asked, "waitMs")});
     event_add(made.limit.get(), &limit);
 }
 
--- a/libraries/catalogue/catalogue.cpp
+++ b/libraries/catalogue/catalogue.cpp
@@ -2,11 +2,15 @@
 
 #include "libraries/admission/events.hpp"
 #include "libraries/configuration/events.hpp"
+#include "libraries/gateway/events.hpp"
+#include "libraries/gateway_shell/events.hpp"
+#include "libraries/log/events.hpp"
 #include "libraries/membership/events.hpp"
 #include "libraries/node/events.hpp"
 #include "libraries/queries/events.hpp"
 #include "libraries/requests/events.hpp"
 #include "libraries/targets/events.hpp"
+#include "libraries/topology/events.hpp"
 
 #include <algorithm>
 
@@ -39,13 +43,17 @@
 std::vector<const event_definition*> all_events()
 {
     std::vector<const event_definition*> all;
+    append(all, log_events::all_events);
     append(all, node::all_events);
+    append(all, gateway_shell::all_events);
     append(all, membership::all_events);
     append(all, configuration::all_events);
     append(all, targets::all_events);
     append(all, queries::all_events);
     append(all, requests::all_events);
     append(all, admission::all_events);
+    append(all, gateway::all_events);
+    append(all, topology::all_events);
     std::sort(all.begin(), all.end(), [](const auto* left, const auto* right) {
         return left->number < right->number;
     });
--- a/libraries/gateway/effect.hpp
+++ b/libraries/gateway/effect.hpp
@@ -89,10 +89,7 @@
         effects.emplace_back(std::forward<Effect>(what));
     }
 
-    void log(log_record record)
-    {
-        shared.emit(write_log{std::move(record)});
-    }
+    void log(log_record record) { shared.emit(write_log{std::move(record)}); }
 
     void count(metrics::counter which, std::uint64_t amount = 1)
     {
--- a/libraries/gateway/event.hpp
+++ b/libraries/gateway/event.hpp
@@ -29,9 +29,9 @@
     std::string reason;
     http::fields headers; // those that are passed on as they came
     std::string body;
-    std::string seal;     // the leaf's signature of this answer
-    bool not_run = false; // the leaf says that it did not run the request
-    bool leaving = false; // it takes no further request on this connection
+    std::string seal;         // the leaf's signature of this answer
+    bool not_run = false;     // the leaf says that it did not run the request
+    bool leaving = false;     // it takes no further request on this connection
     duration idle_timeout{0}; // of the connection at the leaf; 0: not said
 };
 
--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -71,9 +71,9 @@
     "Bytes from a caller were no request, or over a limit."};
 
 inline constexpr std::array all_events = {
-    &gateway_started, &table_in_force,  &stop_begun,       &stop_done,
-    &request_refused, &request_answered, &second_sending,  &budget_spent,
-    &leaf_refused,    &leaf_broke_off,  &part_missing,     &caller_gone,
+    &gateway_started,  &table_in_force,   &stop_begun,     &stop_done,
+    &request_refused,  &request_answered, &second_sending, &budget_spent,
+    &leaf_refused,     &leaf_broke_off,   &part_missing,   &caller_gone,
     &sending_given_up, &leaf_unreachable, &input_refused,
 };
 
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -71,8 +71,7 @@
         field("hedges", of.hedges),
         field("ms", whole_milliseconds(step.context.now - of.began)),
         field("objective_ms", whole_milliseconds(of.route->objective)),
-        field("left_ms",
-              whole_milliseconds(of.deadline - step.context.now))));
+        field("left_ms", whole_milliseconds(of.deadline - step.context.now))));
 }
 
 void log_missing(exchange_step& step, const exchange& of)
@@ -85,10 +84,10 @@
         for (const auto& each : part.tried) {
             leafs += (leafs.empty() ? "" : ",") + each.leaf;
         }
-        step.context.log(make_record(
-            part_missing, field("request", of.request->id),
-            field("service", part.service), field("tried", leafs),
-            field("outstanding", part.outstanding.size())));
+        step.context.log(
+            make_record(part_missing, field("request", of.request->id),
+                        field("service", part.service), field("tried", leafs),
+                        field("outstanding", part.outstanding.size())));
     }
 }
 
@@ -99,10 +98,10 @@
     }
     log_answer(step, of, answer.what);
     step.context.count(counter_for(of, answer.what));
-    step.context.shared.emit(record_duration{
-        is_query(of) ? metrics::histogram::query_latency
-                     : metrics::histogram::request_latency,
-        step.context.now - of.began});
+    step.context.shared.emit(
+        record_duration{is_query(of) ? metrics::histogram::query_latency
+                                     : metrics::histogram::request_latency,
+                        step.context.now - of.began});
     withdraw(step, of, false);
     const auto token = of.token;
     step.context.emit(answer_forward{token, std::move(answer)});
@@ -156,8 +155,8 @@
                            of.parts.front().reply.status != 0) {
         return relayed_answer(of); // the leaf's own failure
     }
-    const bool pending = std::any_of(
-        of.parts.begin(), of.parts.end(), [&](const auto& part) {
+    const bool pending =
+        std::any_of(of.parts.begin(), of.parts.end(), [&](const auto& part) {
             return std::any_of(
                 part.outstanding.begin(), part.outstanding.end(),
                 [&](auto id) { return step.self.sendings.at(raw(id)).sent; });
@@ -241,8 +240,8 @@
     const duration objective =
         route.objective > duration{0} ? route.objective : limit;
     of.objective_at =
-        of.began + std::max(objective - settings.objective_reserve,
-                            objective / 2);
+        of.began +
+        std::max(objective - settings.objective_reserve, objective / 2);
     const auto share = [&](double of_objective) {
         return std::chrono::duration_cast<duration>(objective * of_objective);
     };
@@ -551,8 +550,7 @@
     for (const auto token : tokens) {
         auto& of = step.self.exchanges.at(token);
         finish(step, of,
-               covers_enough(of) ? covered_answer(of)
-                                 : empty_answer(step, of));
+               covers_enough(of) ? covered_answer(of) : empty_answer(step, of));
     }
 }
 
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -50,9 +50,8 @@
         }));
     self.pool.fleet_size = std::max(self.pool.fleet_size, live.size());
     self.pool.near_size = std::max(self.pool.near_size, near);
-    self.pool.fleet_known =
-        membership::joined(self.members) ||
-        now - self.started >= self.settings.peer_patience;
+    self.pool.fleet_known = membership::joined(self.members) ||
+                            now - self.started >= self.settings.peer_patience;
     self.pool.young = now - self.started < self.settings.youth;
     auto& limits = self.exchanges.settings.budget;
     if (!membership::joined(self.members)) {
@@ -78,8 +77,7 @@
 
 // A table that names services not reached yet waits for connections to them,
 // so that a new set of shards does not begin with a crowd of cold requests.
-void apply(state& self, const topology::table_changed& change,
-           context& context)
+void apply(state& self, const topology::table_changed& change, context& context)
 {
     if (!self.coming) {
         self.coming_by = context.now + self.settings.table_patience;
@@ -90,9 +88,8 @@
 
 void review_table(state& self, context& context)
 {
-    if (self.coming &&
-        (!self.table || context.now >= self.coming_by ||
-         prepared_for(self.pool, *self.coming, context.now))) {
+    if (self.coming && (!self.table || context.now >= self.coming_by ||
+                        prepared_for(self.pool, *self.coming, context.now))) {
         put_in_force(self, context);
     }
 }
@@ -110,8 +107,8 @@
                            context);
         }
     }
-    for (auto& call : result.calls) {
-        context.emit(call_store{std::move(call)});
+    for (const auto& call : result.calls) {
+        context.emit(call_store{call});
     }
     review_table(self, context);
     membership::set_digest(self.members, topology::digest_of(self.topology));
@@ -128,10 +125,10 @@
 void refuse(const forward_asked& event, verdict what, duration retry_after,
             std::string_view reason, std::uint64_t version, context& context)
 {
-    context.log(make_record(request_refused,
-                            field("request", event.request->id),
-                            field("host", event.request->host),
-                            field("reason", reason), field("version", version)));
+    context.log(
+        make_record(request_refused, field("request", event.request->id),
+                    field("host", event.request->host), field("reason", reason),
+                    field("version", version)));
     context.count(metrics::counter::answers_refused);
     forward_answer answer;
     answer.what = what;
@@ -268,9 +265,8 @@
     context.emit(release_callers{});
     context.log(make_record(
         stop_begun, field("in_progress", in_progress(self)),
-        field("until_ms",
-              whole_milliseconds(self.settings.stop_grace -
-                                 self.settings.stop_reserve))));
+        field("until_ms", whole_milliseconds(self.settings.stop_grace -
+                                             self.settings.stop_reserve))));
 }
 
 // Once no caller can still hold this daemon's address and nothing is in
@@ -308,8 +304,7 @@
     made.started = now;
     made.members = membership::make_state(self, std::move(seeds),
                                           settings.membership, self.life, now);
-    made.topology =
-        topology::make_state(settings.topology, self.life + 1, now);
+    made.topology = topology::make_state(settings.topology, self.life + 1, now);
     made.pool.settings = settings.pool;
     made.pool.random.seed(self.life + 2);
     made.pool.name = self.name;
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -60,7 +60,7 @@
     boot_time coming_by{};
     boot_time started{};
     boot_time review_at{}; // of who reads the store
-    bool ready = false; // a routing table is known
+    bool ready = false;    // a routing table is known
     std::optional<boot_time> stop_asked;
     bool stopped = false;
 };
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -80,7 +80,8 @@
     constexpr std::uint32_t unreachable_after = 2;
     constexpr double slow = 3.0;
     constexpr double refusing = 0.5;
-    return leaf.unreachable >= unreachable_after || leaf.silences >= silent_after ||
+    return leaf.unreachable >= unreachable_after ||
+           leaf.silences >= silent_after ||
            slowness_at(pool.settings, leaf, now) > slow ||
            decayed(leaf.refusals, leaf.refusals_at, now,
                    pool.settings.refusal_half_life) > refusing;
@@ -93,9 +94,8 @@
                    const leaf_state& right, double share, boot_time now)
 {
     const auto key = [&](const leaf_state& leaf) {
-        const bool near =
-            leaf.published.data_centre == pool.data_centre &&
-            static_cast<double>(pool.near_size) <= share * 0.6;
+        const bool near = leaf.published.data_centre == pool.data_centre &&
+                          static_cast<double>(pool.near_size) <= share * 0.6;
         return std::tuple(is_bad(pool, leaf, now), !near, leaf.placement);
     };
     return key(left) < key(right);
@@ -125,8 +125,8 @@
         const auto& other = pool.leafs.at(id);
         if (usable(pool, other, now)) {
             ++leafs;
-            before += placed_before(pool, other, leaf, usable_limit, now) ? 1
-                                                                          : 0;
+            before +=
+                placed_before(pool, other, leaf, usable_limit, now) ? 1 : 0;
         }
     }
     const auto chosen =
@@ -282,8 +282,7 @@
     leaf.cold_until = context.now + published.cold;
 }
 
-void apply(leaf_pool& pool, const topology::leaf_gone& change,
-           context& context)
+void apply(leaf_pool& pool, const topology::leaf_gone& change, context& context)
 {
     auto* leaf = find_leaf(pool, change.id);
     if (leaf != nullptr && leaf->listed) {
@@ -305,8 +304,7 @@
         auto& leaf = pool.leafs.at(id);
         if (!usable(pool, leaf, now) ||
             !limits::admits(leaf.limit, leaf.in_flight) ||
-            std::find(excluded.begin(), excluded.end(), id) !=
-                excluded.end() ||
+            std::find(excluded.begin(), excluded.end(), id) != excluded.end() ||
             (leaf.idle.empty() &&
              leaf.connections >= connection_share(pool, leaf, now))) {
             continue;
@@ -489,10 +487,9 @@
         table.routes.begin(), table.routes.end(), [&](const auto& route) {
             return std::all_of(route.shards.begin(), route.shards.end(),
                                reached) &&
-                   std::all_of(route.services.begin(), route.services.end(),
-                               [&](const auto& part) {
-                                   return reached(part.service);
-                               });
+                   std::all_of(
+                       route.services.begin(), route.services.end(),
+                       [&](const auto& part) { return reached(part.service); });
         });
 }
 
@@ -517,8 +514,8 @@
             ++it;
         }
     }
-    pool.warm_at = context.now + (pool.opening > 0 ? warming_interval
-                                                   : maintenance_interval);
+    pool.warm_at = context.now +
+                   (pool.opening > 0 ? warming_interval : maintenance_interval);
 }
 
 boot_time next_wakeup(const leaf_pool& pool)
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -57,7 +57,7 @@
 struct leaf_connection {
     std::string leaf;
     bool open = false;
-    bool answered = false; // the leaf answered on it at least once
+    bool answered = false;             // the leaf answered on it at least once
     std::optional<sending_id> sending; // that uses it or waits for it
     boot_time since{};                 // opened, or last used
     duration idle_timeout{0};          // at the leaf; 0: not known
@@ -76,7 +76,7 @@
     boot_time refusals_at{};
     std::uint32_t in_flight = 0;
     limits::concurrency_limit limit; // of in_flight
-    std::uint32_t silences = 0; // overtaken in a row, without an answer
+    std::uint32_t silences = 0;      // overtaken in a row, without an answer
     boot_time avoid_until{};
     std::uint32_t failures = 0;    // connections in a row that never served
     std::uint32_t unreachable = 0; // of those, in a row, that never opened
--- a/libraries/gateway/sendings.cpp
+++ b/libraries/gateway/sendings.cpp
@@ -148,8 +148,8 @@
 // Looks again later, or gives the part up where no later look can help.
 void wait_or_fail(exchange_step& step, exchange& of, request_part& part)
 {
-    const bool refused_somewhere = std::any_of(
-        part.tried.begin(), part.tried.end(), [](const auto& each) {
+    const bool refused_somewhere =
+        std::any_of(part.tried.begin(), part.tried.end(), [](const auto& each) {
             return each.fate == sending_fate::refused;
         });
     if (leaf_limit_reached(of, part) && !refused_somewhere) {
@@ -248,8 +248,7 @@
             continue;
         }
         if (auto* leaf = find_leaf(step.pool, each.leaf)) {
-            avoid(*leaf,
-                  step.context.now + step.pool.settings.silence_penalty);
+            avoid(*leaf, step.context.now + step.pool.settings.silence_penalty);
         }
         unsend(step, part, id);
     }
@@ -273,10 +272,9 @@
 
 bool covers_enough(const exchange& of)
 {
-    return of.covered > 0 &&
-           static_cast<double>(of.covered) + 1e-9 >=
-               of.route->minimum_coverage *
-                   static_cast<double>(of.parts.size());
+    return of.covered > 0 && static_cast<double>(of.covered) + 1e-9 >=
+                                 of.route->minimum_coverage *
+                                     static_cast<double>(of.parts.size());
 }
 
 void act_on_part(exchange_step& step, exchange& of, request_part& part)
@@ -309,8 +307,7 @@
         }
         each.wanted = false;
         if (caller_left && of.route->idempotent) {
-            each.give_up_at =
-                step.context.now + step.self.settings.left_grace;
+            each.give_up_at = step.context.now + step.self.settings.left_grace;
         }
     }
     part.outstanding.clear();
--- a/libraries/gateway_shell/runner.cpp
+++ b/libraries/gateway_shell/runner.cpp
@@ -11,7 +11,7 @@
 {
 
 // The most that a leaf's answer may take; callers are sent no more.
-constexpr http::size_limits leaf_limits{64 * 1024, 8 * 1024 * 1024};
+constexpr http::size_limits leaf_limits{64U * 1024, 8UL * 1024 * 1024};
 
 // A later life of a VM's daemon should have a higher number, so it is taken
 // from the time of day, once; membership mends it where that went back.
@@ -52,8 +52,8 @@
     TRY(datagrams,
         shell::peer_datagrams::bind(base_.get(), settings.peers, out));
     datagrams_ = std::move(datagrams);
-    TRY(streams, shell::peer_streams::listen(base_.get(),
-                                             datagrams_->address(), out));
+    TRY(streams,
+        shell::peer_streams::listen(base_.get(), datagrams_->address(), out));
     streams_ = std::move(streams);
     TRY(callers, serve_callers(settings.callers));
     callers_ = std::move(callers);
@@ -147,14 +147,14 @@
     };
     events.answered = [this](connection_id id, http::response answer,
                              bool reusable) {
-        post(gateway::leaf_replied{
-            id, protocol_.read_reply(std::move(answer)), reusable});
+        post(gateway::leaf_replied{id, protocol_.read_reply(std::move(answer)),
+                                   reusable});
     };
     events.closed = [this](connection_id id, error cause) {
         post(gateway::leaf_disconnected{id, std::move(cause)});
     };
-    return std::make_unique<http::client>(
-        base_.get(), leaf_limits, protocol_.correlation_header, events);
+    return std::make_unique<http::client>(base_.get(), leaf_limits,
+                                          protocol_.correlation_header, events);
 }
 
 void runner::take_request(caller_token token, http::request message)
@@ -200,11 +200,11 @@
 void runner::reject(const error& cause)
 {
     metrics::add(metrics_, metrics::counter::input_rejected);
-    log_.write(make_record(input_unreadable, field("step", cause.step),
-                           field("peer", cause.peer),
-                           field("cause", cause.code.message() + " " +
-                                              cause.detail)),
-               clock_.now());
+    log_.write(
+        make_record(input_unreadable, field("step", cause.step),
+                    field("peer", cause.peer),
+                    field("cause", cause.code.message() + " " + cause.detail)),
+        clock_.now());
 }
 
 void runner::post_from_peer(event what)
@@ -221,10 +221,9 @@
 // A reply with published records is decoded here, at the edge.
 void runner::take_records(const peer_replied& replied)
 {
-    const auto* reply = replied.reply
-                            ? std::get_if<wire::records_reply>(
-                                  &replied.reply.value())
-                            : nullptr;
+    const auto* reply =
+        replied.reply ? std::get_if<wire::records_reply>(&replied.reply.value())
+                      : nullptr;
     if (reply == nullptr) {
         post(replied);
         return;
@@ -294,15 +293,13 @@
                                     protocol_.write_entries(concrete));
             } else if constexpr (std::is_same_v<kind, gateway::call_store>) {
                 store_(concrete.call);
-            } else if constexpr (std::is_same_v<kind,
-                                                gateway::limit_callers>) {
-                callers_->set_limits({{concrete.limits.header_bytes,
-                                       concrete.limits.body_bytes},
-                                      concrete.limits.header_timeout,
-                                      concrete.limits.idle_timeout});
+            } else if constexpr (std::is_same_v<kind, gateway::limit_callers>) {
+                callers_->set_limits(
+                    {{concrete.limits.header_bytes, concrete.limits.body_bytes},
+                     concrete.limits.header_timeout,
+                     concrete.limits.idle_timeout});
             } else {
-                static_assert(
-                    std::is_same_v<kind, gateway::release_callers>);
+                static_assert(std::is_same_v<kind, gateway::release_callers>);
                 callers_->close_after_answers();
             }
         },
--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -59,9 +59,8 @@
     bufferevent_enable(opened.buffer.get(), EV_READ | EV_WRITE);
     const sockaddr_in to = shell::to_socket_address(address);
     // A failure at once is reported through `notice` like a later one.
-    bufferevent_socket_connect(opened.buffer.get(),
-                               reinterpret_cast<const sockaddr*>(&to),
-                               sizeof to);
+    bufferevent_socket_connect(
+        opened.buffer.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to);
 }
 
 void client::send(connection_id id, const request& message)
@@ -107,8 +106,7 @@
     }
     for (;;) {
         std::size_t used = 0;
-        const auto state =
-            from.parser->take(shell::content_of(input), used);
+        const auto state = from.parser->take(shell::content_of(input), used);
         evbuffer_drain(input, used);
         if (state == progress::need_more) {
             return;
--- a/libraries/http/message.cpp
+++ b/libraries/http/message.cpp
@@ -11,9 +11,15 @@
 {
 
 constexpr std::array<std::string_view, 9> hop_by_hop = {
-    "connection",       "keep-alive",          "proxy-connection",
-    "te",               "trailer",             "transfer-encoding",
-    "upgrade",          "proxy-authenticate",  "proxy-authorization",
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "proxy-authenticate",
+    "proxy-authorization",
 };
 
 char lower(char character)
@@ -77,10 +83,9 @@
 bool same_name(std::string_view left, std::string_view right)
 {
     return left.size() == right.size() &&
-           std::equal(left.begin(), left.end(), right.begin(),
-                      [](char one, char other) {
-                          return lower(one) == lower(other);
-                      });
+           std::equal(
+               left.begin(), left.end(), right.begin(),
+               [](char one, char other) { return lower(one) == lower(other); });
 }
 
 std::string_view value_of(const fields& headers, std::string_view name)
@@ -168,8 +173,8 @@
     const bool bodiless = message.method == "GET" || message.method == "HEAD" ||
                           message.method == "DELETE";
     if (!message.body.empty() || !bodiless) {
-        text += "Content-Length: " + std::to_string(message.body.size()) +
-                "\r\n";
+        text +=
+            "Content-Length: " + std::to_string(message.body.size()) + "\r\n";
     }
     text += "\r\n";
     text += message.body;
@@ -190,8 +195,8 @@
     }
     const bool bodiless = message.status == 204 || message.status == 304;
     if (!bodiless) {
-        text += "Content-Length: " + std::to_string(message.body.size()) +
-                "\r\n";
+        text +=
+            "Content-Length: " + std::to_string(message.body.size()) + "\r\n";
     }
     text += "\r\n";
     if (!bodiless && !to_head) {
--- a/libraries/http/parser.cpp
+++ b/libraries/http/parser.cpp
@@ -109,9 +109,9 @@
         header_done = true;
         // Any transfer coding but "chunked" alone can't be undone here.
         const auto coding = value_of(message.headers, "transfer-encoding");
-        if (!coding.empty() && (!same_name(coding, "chunked") ||
-                                count_of(message.headers,
-                                         "transfer-encoding") != 1)) {
+        if (!coding.empty() &&
+            (!same_name(coding, "chunked") ||
+             count_of(message.headers, "transfer-encoding") != 1)) {
             code = beast::http::error::bad_transfer_encoding;
         }
         if (count_of(message.headers, "content-length") > 1) {
--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -64,8 +64,8 @@
     auto made = std::make_unique<connection>(connection{
         &owner, ++owner.last_id_,
         shell::from_socket_address(*reinterpret_cast<sockaddr_in*>(from)),
-        shell::stream_handle(bufferevent_socket_new(owner.base_, socket,
-                                                    BEV_OPT_CLOSE_ON_FREE)),
+        shell::stream_handle(
+            bufferevent_socket_new(owner.base_, socket, BEV_OPT_CLOSE_ON_FREE)),
         request_parser(owner.limits_.sizes)});
     auto& accepted = *made;
     owner.open_.emplace(accepted.id, std::move(made));
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -34,9 +34,8 @@
 class server
 {
 public:
-    static result<std::unique_ptr<server>> listen(event_base* base,
-                                                  const endpoint& address,
-                                                  server_events events);
+    static result<std::unique_ptr<server>>
+    listen(event_base* base, const endpoint& address, server_events events);
     ~server();
 
     void set_limits(const server_limits& limits) { limits_ = limits; }
--- a/libraries/limits/window_budget.cpp
+++ b/libraries/limits/window_budget.cpp
@@ -24,8 +24,8 @@
     const auto steps = std::min(slot - counter.newest, slots);
     for (std::int64_t i = 1; i <= steps; ++i) {
         auto& oldest =
-            counter.counts[static_cast<std::size_t>((slot - steps + i) %
-                                                    slots)];
+            counter
+                .counts[static_cast<std::size_t>((slot - steps + i) % slots)];
         counter.total -= oldest;
         oldest = 0;
     }
--- a/libraries/routing/routing.hpp
+++ b/libraries/routing/routing.hpp
@@ -30,12 +30,12 @@
     std::vector<weighted_service> services;
     // All of these take part in each request; empty for a single request.
     std::vector<std::string> shards;
-    duration timeout{0};   // the longest that a request is kept
-    duration objective{0}; // the latency objective
+    duration timeout{0};          // the longest that a request is kept
+    duration objective{0};        // the latency objective
     std::uint32_t most_leafs = 1; // that one request may be sent to, per shard
     std::uint32_t priority = 0;   // 0 is the most urgent
-    std::uint32_t result_limit = 0;   // most records in a merged answer
-    double minimum_coverage = 1.0;    // share of the shards, 0 to 1
+    std::uint32_t result_limit = 0; // most records in a merged answer
+    double minimum_coverage = 1.0;  // share of the shards, 0 to 1
 };
 
 struct service {
@@ -70,7 +70,7 @@
     std::string data_centre;
     std::uint32_t slots = 1;
     bool draining = false;
-    duration cold{0};        // how much longer it is slow after its start
+    duration cold{0};          // how much longer it is slow after its start
     std::uint64_t started = 0; // tells lives under one id apart; 0: not said
 
     bool operator==(const leaf&) const = default;
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -15,9 +15,9 @@
     constexpr std::uint32_t most_doublings = 8;
     const auto doublings =
         std::min(self.failures == 0 ? 0 : self.failures - 1, most_doublings);
-    const duration whole = std::min(self.settings.least_backoff *
-                                        (std::int64_t{1} << doublings),
-                                    self.settings.most_backoff);
+    const duration whole =
+        std::min(self.settings.least_backoff * (std::int64_t{1} << doublings),
+                 self.settings.most_backoff);
     const double kept = 0.5 + 0.5 * random_fraction(self.random);
     return std::chrono::duration_cast<duration>(whole * kept);
 }
@@ -60,20 +60,18 @@
                 outcome& result, context& context)
 {
     if (self.table && table->version <= self.table->version) {
-        context.emit(write_log{
-            make_record(table_refused, field("version", table->version),
-                        field("in_force", self.table->version),
-                        field("revision", published.revision),
-                        field("source", source))});
+        context.emit(write_log{make_record(
+            table_refused, field("version", table->version),
+            field("in_force", self.table->version),
+            field("revision", published.revision), field("source", source))});
         return;
     }
     self.table = table;
-    context.emit(write_log{
-        make_record(table_accepted, field("version", table->version),
-                    field("routes", table->routes.size()),
-                    field("services", table->services.size()),
-                    field("revision", published.revision),
-                    field("source", source))});
+    context.emit(write_log{make_record(
+        table_accepted, field("version", table->version),
+        field("routes", table->routes.size()),
+        field("services", table->services.size()),
+        field("revision", published.revision), field("source", source))});
     result.changes.emplace_back(table_changed{table});
 }
 
@@ -90,8 +88,7 @@
         context.emit(write_log{make_record(
             record_unreadable, field("key", published.key),
             field("revision", published.revision), field("source", source),
-            field("reason",
-                  std::get<unreadable>(learned.content).reason))});
+            field("reason", std::get<unreadable>(learned.content).reason))});
         drop_leaf(self, published.key, published, source, result, context);
     }
 }
@@ -201,9 +198,9 @@
     self.seen_revision = seen.manifest_version;
     self.seen_at = from.peer;
     if (!waiting) {
-        self.fetch_at = now + (self.reading
-                                   ? self.settings.peer_advantage
-                                   : self.settings.peer_advantage_of_others);
+        self.fetch_at =
+            now + (self.reading ? self.settings.peer_advantage
+                                : self.settings.peer_advantage_of_others);
     }
 }
 
@@ -278,10 +275,10 @@
     const duration wait = backoff(self);
     self.call_at = context.now + wait;
     if (self.failures == 1) {
-        context.emit(write_log{make_record(
-            store_lost, field("cause", to_string(event.cause)),
-            field("failures", self.failures),
-            field("retry_ms", whole_milliseconds(wait)))});
+        context.emit(write_log{
+            make_record(store_lost, field("cause", to_string(event.cause)),
+                        field("failures", self.failures),
+                        field("retry_ms", whole_milliseconds(wait)))});
     }
 }
 
@@ -301,7 +298,8 @@
 void reduce(state& self, const peer_asked& event, outcome& /*result*/,
             context& context)
 {
-    if (const auto* asked = std::get_if<wire::records_request>(&event.request)) {
+    if (const auto* asked =
+            std::get_if<wire::records_request>(&event.request)) {
         context.emit(
             reply_to_peer{event.token, records_after(self, asked->after)});
     }
--- a/libraries/topology/topology.hpp
+++ b/libraries/topology/topology.hpp
@@ -91,7 +91,7 @@
 struct state {
     options settings;
     random_source random;
-    std::map<std::string, known_record> records; // removed ones too
+    std::map<std::string, known_record> records;  // removed ones too
     std::map<std::string, std::string> leaf_keys; // id of a leaf by its key
     std::uint64_t revision = 0;   // all changes up to it are known
     std::uint64_t forgotten = 0;  // no removal above it was forgotten
--- a/libraries/wire/frame.cpp
+++ b/libraries/wire/frame.cpp
@@ -45,9 +45,8 @@
 template <typename Archive>
 void serialize(Archive& archive, published_record& record)
 {
-    archive(bounded_text{record.key, most_key_bytes},
-            varint{record.revision}, record.removed,
-            bounded_text{record.content, most_document_bytes});
+    archive(bounded_text{record.key, most_key_bytes}, varint{record.revision},
+            record.removed, bounded_text{record.content, most_document_bytes});
 }
 
 template <typename Archive>
--- a/meta/bulrushspring.sh
+++ b/meta/bulrushspring.sh
@@ -53,7 +53,19 @@
     done
 }
 
+# The platform's names on the wire stay in platform/, its stand-ins and tests.
+platform_names='Part-Stamps|Missing-Parts|Server-Seal|Target-Instance|Not-Executed|Attempt-Id|Deadline-Ms|kv-watch|kv-range|kv-key|coldRemainingMs|minCoverage|maxAttempts|topK|trafficSplit|storeRevision'
+
+check_names() {
+    if git -C "$top" grep -nE "$platform_names" -- '*.cpp' '*.hpp' |
+        grep -vE '^(platform|tests|fakes)/'; then
+        echo "a name of the platform outside its folder" >&2
+        return 1
+    fi
+}
+
 lint() {
+    check_names
     sources | xargs clang-format --dry-run --Werror
     build_all
     sources | grep '\.cpp$' |
--- a/services/bulrushspring_platformd.cpp
+++ b/services/bulrushspring_platformd.cpp
@@ -90,10 +90,9 @@
 {
     const endpoint metrics{from.peers.address,
                            absl::GetFlag(FLAGS_metrics_port)};
-    return {from.name,      from.data_centre, from.region,
-            from.callers,   from.readiness,   from.peers,
-            from.directory, metrics,          from.seeds,
-            from.gateway};
+    return {from.name,      from.data_centre, from.region,    from.callers,
+            from.readiness, from.peers,       from.directory, metrics,
+            from.seeds,     from.gateway};
 }
 
 int run(const platform::settings& settings)
--- a/tests/gateway/bench.hpp
+++ b/tests/gateway/bench.hpp
@@ -168,8 +168,7 @@
         effects.clear();
     }
 
-    caller_token ask(const std::string& path,
-                     duration time_left = seconds{2})
+    caller_token ask(const std::string& path, duration time_left = seconds{2})
     {
         auto request = std::make_shared<forward_request>();
         request->id = "r" + std::to_string(last_token + 1);
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -61,9 +61,8 @@
     for (std::size_t centre = 0; centre < sizes.size(); ++centre) {
         for (std::size_t i = 0; i < sizes[centre]; ++i) {
             const auto data_centre = "dc-" + std::to_string(centre);
-            const auto chosen =
-                chosen_by(data_centre + "-" + std::to_string(i), data_centre,
-                          109, sizes[centre]);
+            const auto chosen = chosen_by(data_centre + "-" + std::to_string(i),
+                                          data_centre, 109, sizes[centre]);
             BOOST_TEST(chosen.size() == 2U);
             BOOST_TEST(chosen.count("leaf-" + std::to_string(centre)) == 1U);
             for (const auto& leaf : chosen) {
--- a/tests/gateway/query_test.cpp
+++ b/tests/gateway/query_test.cpp
@@ -147,7 +147,8 @@
     BOOST_TEST(take<send_to_leaf>().size() >= 1U);
 }
 
-BOOST_FIXTURE_TEST_CASE(without_budget_nothing_is_sent_twice, bench_without_budget)
+BOOST_FIXTURE_TEST_CASE(without_budget_nothing_is_sent_twice,
+                        bench_without_budget)
 {
     make_query_route(4);
     ask("/q/x");
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -113,7 +113,8 @@
 BOOST_FIXTURE_TEST_CASE(a_late_answer_to_an_earlier_request_is_dropped, fixture)
 {
     ask();
-    leaf->send("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 1\r\n\r\nx" + good);
+    leaf->send("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 1\r\n\r\nx" +
+               good);
     BOOST_TEST(until([&] { return answers.size() == 1; }));
     BOOST_TEST(answers[0].body == "ab");
     BOOST_TEST(reusable[0]);
--- a/tests/http/loop.hpp
+++ b/tests/http/loop.hpp
@@ -47,13 +47,14 @@
     {
         std::array<char, 4096> buffer{};
         for (;;) {
-            const auto size = recv(descriptor_, buffer.data(), buffer.size(), 0);
+            const auto size =
+                recv(descriptor_, buffer.data(), buffer.size(), 0);
             if (size > 0) {
                 received.append(buffer.data(), static_cast<std::size_t>(size));
                 continue;
             }
-            ended = ended || size == 0 ||
-                    (errno != EAGAIN && errno != EWOULDBLOCK);
+            ended =
+                ended || size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
             return;
         }
     }
--- a/tests/http/parser_test.cpp
+++ b/tests/http/parser_test.cpp
@@ -135,8 +135,8 @@
 {
     for (const auto& each : request_cases) {
         request_parser at_once(limits);
-        BOOST_TEST(
-            (take_at_once(at_once, each.bytes) == each.expected), each.what);
+        BOOST_TEST((take_at_once(at_once, each.bytes) == each.expected),
+                   each.what);
         request_parser bytewise(limits);
         BOOST_TEST((take_bytewise(bytewise, each.bytes) == each.expected),
                    each.what << ", bytewise");
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -54,8 +54,8 @@
     {"no host", "GET /a HTTP/1.1\r\n\r\n", "400"},
     {"two hosts", "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", "400"},
     {"no path", "GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n", "400"},
-    {"a long body",
-     "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n", "413"},
+    {"a long body", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n",
+     "413"},
     {"long headers",
      "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') + "\r\n\r\n",
      "431"},
@@ -73,9 +73,9 @@
         raw_socket caller(connect_to(address));
         caller.send(each.bytes);
         BOOST_TEST(until([&] {
-            caller.take();
-            return caller.ended;
-        }),
+                       caller.take();
+                       return caller.ended;
+                   }),
                    each.what);
         BOOST_TEST(caller.received.substr(9, 3) == each.status, each.what);
         BOOST_TEST(caller.received.find("Connection: close") !=
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -59,8 +59,8 @@
 BOOST_AUTO_TEST_CASE(verdicts_have_the_statuses_that_keep_their_promise)
 {
     const std::vector<std::pair<gateway::verdict, unsigned>> statuses = {
-        {gateway::verdict::merged, 200},  {gateway::verdict::no_route, 404},
-        {gateway::verdict::not_run, 503}, {gateway::verdict::failed, 502},
+        {gateway::verdict::merged, 200},    {gateway::verdict::no_route, 404},
+        {gateway::verdict::not_run, 503},   {gateway::verdict::failed, 502},
         {gateway::verdict::timed_out, 504},
     };
     for (const auto& [what, status] : statuses) {
--- a/tests/platform/records_test.cpp
+++ b/tests/platform/records_test.cpp
@@ -47,9 +47,9 @@
 BOOST_AUTO_TEST_CASE(spoilt_entries_name_no_leaf)
 {
     const std::vector<std::pair<std::string, std::string>> changes = {
-        {"\"ready\"", "\"resting\""}, {"\"ready\"", "5"},
+        {"\"ready\"", "\"resting\""},   {"\"ready\"", "5"},
         {"10.128.0.9:8080", "nowhere"}, {"\"slots\":3", "\"slots\":\"x\""},
-        {"\"service\":\"s\",", ""},   {"{", ""},
+        {"\"service\":\"s\",", ""},     {"{", ""},
         {"\"s\"", "\"\xff\""},
     };
     for (const auto& [from, to] : changes) {
--- a/utilities/soak.cpp
+++ b/utilities/soak.cpp
@@ -60,11 +60,10 @@
     const auto report = site::run_soak(options);
     const auto& tally = report.tally;
     std::cout << "seed " << seed << ": " << report.violations.size()
-              << " violations; " << tally.asked << " asked, "
-              << tally.succeeded << " succeeded, " << tally.refused
-              << " refused, " << tally.failed << " failed, " << tally.cut
-              << " cut; " << report.faults.size() << " faults; "
-              << report.store_calls << " store calls\n";
+              << " violations; " << tally.asked << " asked, " << tally.succeeded
+              << " succeeded, " << tally.refused << " refused, " << tally.failed
+              << " failed, " << tally.cut << " cut; " << report.faults.size()
+              << " faults; " << report.store_calls << " store calls\n";
     if (report.violations.empty()) {
         return true;
     }
