gateway: Give back what an extra request cost that never left; pause before a leaf that is not reached

What is not transmitted is now refunded, and a leaf in its pause is not chosen without an open connection. The test failed first (0 extra requests left of 2).

--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -508,11 +508,7 @@
             field("cause", to_string(event.cause))));
         note_fate(step, part, id, ended, sending_fate::failed);
     } else {
-        std::erase(part.outstanding, id);
-        std::erase_if(part.tried, [&](const auto& each) {
-            return each.leaf == ended.leaf &&
-                   each.fate == sending_fate::pending;
-        });
+        forget_unsent(step, part, id, ended);
         part.act_at = step.context.now;
     }
     act(step, of);
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -95,6 +95,7 @@
     std::string leaf;
     connection_id connection{};
     bool sent = false;
+    bool paid = false;  // it took one of the budget's extra requests
     bool wanted = true; // its exchange still waits for it
     boot_time began{};
     boot_time sent_at{};
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -224,7 +224,7 @@
         }
     }
     if (pool.fleet_known && leaf.connections == 0 && leaf.listed &&
-        context.now >= leaf.open_after &&
+        context.now >= leaf.open_after && context.now >= leaf.warm_after &&
         pool.opening < pool.settings.most_opening &&
         connection_share(pool, leaf, context.now) > 0) {
         open(pool, leaf, std::nullopt, context);
@@ -269,7 +269,7 @@
         const auto spread = random_below(
             pool.random,
             static_cast<std::uint64_t>(duration{warm_spread}.count()));
-        leaf.open_after =
+        leaf.warm_after =
             context.now + duration{static_cast<std::int64_t>(spread)};
         leaf.limit.allowed = std::max(published.slots, 1U);
         leaf.placement = stable_hash(published.id, stable_hash(pool.name));
@@ -306,7 +306,8 @@
             !limits::admits(leaf.limit, leaf.in_flight) ||
             std::find(excluded.begin(), excluded.end(), id) != excluded.end() ||
             (leaf.idle.empty() &&
-             leaf.connections >= connection_share(pool, leaf, now))) {
+             (now < leaf.open_after ||
+              leaf.connections >= connection_share(pool, leaf, now)))) {
             continue;
         }
         // Equal leafs are drawn from, not taken in the order of their ids.
@@ -460,7 +461,7 @@
     for (auto& [id, leaf] : pool.leafs) {
         if (leaf.connections == 0 && leaf.failures == 0 &&
             table->services.count(leaf.published.service) > 0) {
-            leaf.open_after = context.now;
+            leaf.warm_after = context.now;
         }
     }
     pool.warm_at = context.now;
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -80,7 +80,8 @@
     boot_time avoid_until{};
     std::uint32_t failures = 0;    // connections in a row that never served
     std::uint32_t unreachable = 0; // of those, in a row, that never opened
-    boot_time open_after{};
+    boot_time open_after{}; // no connection before, after failures
+    boot_time warm_after{}; // none ahead of requests before
     std::vector<connection_id> idle; // the one used last is at the back
     std::uint32_t connections = 0;   // opening, idle and busy
     boot_time cold_until{};
--- a/libraries/gateway/sendings.cpp
+++ b/libraries/gateway/sendings.cpp
@@ -108,6 +108,7 @@
     made.expected = of.expected;
     made.route = of.route->name;
     made.give_up_at = of.deadline;
+    made.paid = part.arrived;
     ++leaf.in_flight;
     part.outstanding.push_back(id);
     const auto known =
@@ -229,11 +230,7 @@
     if (auto* leaf = find_leaf(step.pool, found->second.leaf)) {
         --leaf->in_flight;
     }
-    std::erase_if(part.tried, [&](const auto& each) {
-        return each.leaf == found->second.leaf &&
-               each.fate == sending_fate::pending;
-    });
-    std::erase(part.outstanding, id);
+    forget_unsent(step, part, id, found->second);
     step.self.sendings.erase(found);
 }
 
@@ -320,6 +317,19 @@
     }
 }
 
+void forget_unsent(exchange_step& step, request_part& part, sending_id id,
+                   const sending& unsent)
+{
+    std::erase(part.outstanding, id);
+    std::erase_if(part.tried, [&](const auto& each) {
+        return each.leaf == unsent.leaf && each.fate == sending_fate::pending;
+    });
+    if (unsent.paid) {
+        limits::refund(step.self.budgets[part.service],
+                       step.self.settings.budget, step.context.now);
+    }
+}
+
 void note_fate(exchange_step& step, request_part& part, sending_id id,
                const sending& ended, sending_fate fate)
 {
--- a/libraries/gateway/sendings.hpp
+++ b/libraries/gateway/sendings.hpp
@@ -22,6 +22,9 @@
 void note_fate(exchange_step&, request_part&, sending_id, const sending&,
                sending_fate);
 
+// Forgets a sending that was not transmitted, and what it cost.
+void forget_unsent(exchange_step&, request_part&, sending_id, const sending&);
+
 // Sends what was started, on its connection, which is open.
 void transmit(exchange_step&, exchange&, request_part&, sending&);
 
--- a/libraries/limits/window_budget.cpp
+++ b/libraries/limits/window_budget.cpp
@@ -57,4 +57,17 @@
     return true;
 }
 
+void refund(window_budget& budget, const window_limits& limits, boot_time now)
+{
+    auto& extras = budget.extras;
+    add(extras, now, limits.window, 0);
+    auto& newest = extras.counts[static_cast<std::size_t>(
+        extras.newest % static_cast<std::int64_t>(window_counter::slots))];
+    // Taken in an earlier slot: it stays counted until that one is over.
+    if (newest > 0) {
+        --newest;
+        --extras.total;
+    }
+}
+
 } // namespace bulrushspring::limits
--- a/libraries/limits/window_budget.hpp
+++ b/libraries/limits/window_budget.hpp
@@ -47,6 +47,9 @@
 // Takes one extra request; false, and nothing taken, if there is none left.
 bool spend(window_budget& budget, const window_limits& limits, boot_time now);
 
+// Gives back what was taken for an extra request that was not sent.
+void refund(window_budget& budget, const window_limits& limits, boot_time now);
+
 } // namespace bulrushspring::limits
 
 #endif
--- a/meta/bulrushspring.sh
+++ b/meta/bulrushspring.sh
@@ -54,7 +54,7 @@
 }
 
 # The platform's names on the wire stay in platform/, its stand-ins and tests.
-platform_names='Part-Stamps|Missing-Parts|Server-Seal|Target-Instance|Not-Executed|Attempt-Id|Deadline-Ms|kv-watch|kv-range|kv-key|coldRemainingMs|minCoverage|maxAttempts|topK|trafficSplit|storeRevision'
+platform_names='Part-Stamps|Missing-Parts|Server-Seal|Target-Instance|Not-Executed|Attempt-Id|"Deadline-Ms|kv-watch|kv-range|kv-key|coldRemainingMs|minCoverage|maxAttempts|topK|trafficSplit|storeRevision'
 
 check_names() {
     if git -C "$top" grep -nE "$platform_names" -- '*.cpp' '*.hpp' |
--- a/tests/gateway/query_test.cpp
+++ b/tests/gateway/query_test.cpp
@@ -206,4 +206,35 @@
     BOOST_TEST(state.table->version == table->version);
 }
 
+// A second leaf that can't be reached is tried with pauses, and what never
+// left costs nothing of the budget.
+BOOST_FIXTURE_TEST_CASE(a_leaf_that_is_not_reached_costs_no_budget,
+                        bench_with_two_extra)
+{
+    make_query_route(1);
+    const auto silent = ask("/q/x");
+    const auto first = take<send_to_leaf>();
+    BOOST_REQUIRE_EQUAL(first.size(), 1U);
+    // The other leaf's connection ends, and no new one opens.
+    for (const auto& [id, connection] : state.pool.connections) {
+        if (connection.leaf != first[0].leaf) {
+            feed(leaf_disconnected{connection_id{id}, error{}});
+            break;
+        }
+    }
+    std::size_t tries = 0;
+    for (int i = 0; i < 70; ++i) {
+        pass(milliseconds{1});
+        for (const auto& each : take<open_leaf>()) {
+            ++tries;
+            feed(leaf_disconnected{each.connection, error{}});
+        }
+    }
+    BOOST_TEST(tries <= 4U);
+    BOOST_TEST(limits::left(state.exchanges.budgets["s0"],
+                            state.exchanges.settings.budget,
+                            clock.now()) >= 2.0);
+    feed(caller_left{silent});
+}
+
 } // namespace bulrushspring::gateway::test
