--- a/tests/gateway/single_test.cpp
+++ b/tests/gateway/single_test.cpp
@@ -82,6 +82,7 @@
     const auto opened = take<open_leaf>();
     BOOST_REQUIRE(!opened.empty());
     feed(leaf_disconnected{opened[0].connection, error{}});
+    pass(milliseconds{70}); // both leafs are left alone for a moment
     const auto again = take<open_leaf>();
     BOOST_REQUIRE(!again.empty());
     feed(leaf_connected{again[0].connection});
