--- a/libraries/gateway/event.hpp
+++ b/libraries/gateway/event.hpp
@@ -31,7 +31,6 @@
     std::string body;
     std::string seal;         // the leaf's signature of this answer
     bool not_run = false;     // the leaf says that it did not run the request
-    bool leaving = false;     // it takes no further request on this connection
     duration idle_timeout{0}; // of the connection at the leaf; 0: not said
 };
 
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -1,7 +1,8 @@
 #include "libraries/gateway/exchange.hpp"
 
+#include "libraries/gateway/answers.hpp"
 #include "libraries/gateway/events.hpp"
-#include "libraries/gateway/merge.hpp"
+#include "libraries/gateway/leaf_evidence.hpp"
 #include "libraries/gateway/sendings.hpp"
 
 #include <algorithm>
@@ -37,11 +38,6 @@
     return "failed";
 }
 
-bool is_query(const exchange& of)
-{
-    return !of.route->shards.empty();
-}
-
 metrics::counter counter_for(const exchange& of, verdict what)
 {
     switch (what) {
@@ -108,69 +104,6 @@
     step.self.exchanges.erase(raw(token));
 }
 
-forward_answer merged_answer(exchange& of)
-{
-    forward_answer answer;
-    answer.what = verdict::merged;
-    std::vector<std::string_view> bodies;
-    for (auto& part : of.parts) {
-        if (part.phase == part_phase::covered) {
-            answer.seals.push_back(part.reply.seal);
-            bodies.push_back(part.reply.body);
-        }
-    }
-    answer.missing = static_cast<std::uint32_t>(of.parts.size()) - of.covered;
-    answer.body = greatest_records(bodies, of.route->result_limit);
-    return answer;
-}
-
-forward_answer relayed_answer(exchange& of)
-{
-    forward_answer answer;
-    answer.what = verdict::relayed;
-    answer.reply = std::move(of.parts.front().reply);
-    return answer;
-}
-
-forward_answer covered_answer(exchange& of)
-{
-    return is_query(of) ? merged_answer(of) : relayed_answer(of);
-}
-
-duration retry_after(const exchange_options& settings, const exchange& of)
-{
-    const auto share = std::chrono::duration_cast<duration>(
-        of.route->objective * settings.retry_after_share);
-    return std::min(share, settings.longest_retry_after);
-}
-
-// The answer where there is nothing to pass on. That it has not run is said
-// only where no sending can have.
-forward_answer empty_answer(exchange_step& step, exchange& of)
-{
-    forward_answer answer;
-    if (is_query(of) ? false
-                     : of.parts.front().phase == part_phase::failed &&
-                           !of.parts.front().reply.seal.empty() &&
-                           of.parts.front().reply.status != 0) {
-        return relayed_answer(of); // the leaf's own failure
-    }
-    const bool pending =
-        std::any_of(of.parts.begin(), of.parts.end(), [&](const auto& part) {
-            return std::any_of(
-                part.outstanding.begin(), part.outstanding.end(),
-                [&](auto id) { return step.self.sendings.at(raw(id)).sent; });
-        });
-    if (!of.may_have_run && of.covered == 0 && !pending) {
-        answer.what = verdict::not_run;
-        answer.retry_after = retry_after(step.self.settings, of);
-    } else {
-        answer.what = step.context.now >= of.answer_by ? verdict::timed_out
-                                                       : verdict::failed;
-    }
-    return answer;
-}
-
 // Enough shards have failed that the minimum coverage is out of reach.
 bool hopeless(const exchange& of)
 {
@@ -468,10 +401,8 @@
     const sending_id id = *found->second.sending;
     const sending ended = take_sending(step, id);
     note_reply(step, ended, event.reply);
-    if (event.reusable && !event.reply.leaving) {
+    if (event.reusable) {
         release(step.pool, event.connection, event.reply, step.context);
-    } else if (event.reusable) {
-        drop(step.pool, event.connection, step.context);
     } else {
         forget(step.pool, event.connection, false, step.context);
     }
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -2,9 +2,9 @@
 
 #include "base/hash.hpp"
 #include "libraries/gateway/events.hpp"
+#include "libraries/gateway/leaf_evidence.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace bulrushspring::gateway
@@ -29,8 +29,6 @@
 constexpr double avoided_cost = 1000.0;
 constexpr double unlisted_cost = 100000.0;
 constexpr double opening_cost = 1.0;
-constexpr double least_slowness = 0.2;
-constexpr double most_slowness = 30.0;
 constexpr double cold_cost = 0.6; // a cold leaf takes over half longer
 
 bool usable(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
@@ -59,20 +57,6 @@
     return tightest == services.end() ? 0 : tightest->second.connection_limit;
 }
 
-double decayed(double value, boot_time since, boot_time now, duration half_life)
-{
-    const double halvings = static_cast<double>((now - since).count()) /
-                            static_cast<double>(half_life.count());
-    return value * std::exp2(-halvings);
-}
-
-double slowness_at(const pool_options& settings, const leaf_state& leaf,
-                   boot_time now)
-{
-    return 1.0 + decayed(leaf.slowness - 1.0, leaf.sampled_at, now,
-                         settings.deviation_half_life);
-}
-
 // Whether a daemon that has few leafs of a service had better have another.
 bool is_bad(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
 {
@@ -83,8 +67,7 @@
     return leaf.unreachable >= unreachable_after ||
            leaf.silences >= silent_after ||
            slowness_at(pool.settings, leaf, now) > slow ||
-           decayed(leaf.refusals, leaf.refusals_at, now,
-                   pool.settings.refusal_half_life) > refusing;
+           refusals_at(pool.settings, leaf, now) > refusing;
 }
 
 // Orders the leafs of a service for this daemon, best first: bad ones last,
@@ -142,8 +125,7 @@
     double cost =
         slowness_at(pool.settings, leaf, now) * (1.0 + leaf.in_flight);
     cost *= 1.0 + pool.settings.refusal_weight *
-                      decayed(leaf.refusals, leaf.refusals_at, now,
-                              pool.settings.refusal_half_life);
+                      refusals_at(pool.settings, leaf, now);
     if (leaf.published.data_centre != pool.data_centre) {
         cost *= pool.settings.remote_factor;
     }
@@ -321,17 +303,6 @@
     return best;
 }
 
-bool any_usable(const leaf_pool& pool, const std::string& service,
-                boot_time now)
-{
-    const auto found = pool.by_service.find(service);
-    return found != pool.by_service.end() &&
-           std::any_of(found->second.begin(), found->second.end(),
-                       [&](const auto& id) {
-                           return usable(pool, pool.leafs.at(id), now);
-                       });
-}
-
 std::optional<connection_id> acquire(leaf_pool& pool, leaf_state& leaf,
                                      sending_id sending, bool idempotent,
                                      context& context)
@@ -406,54 +377,6 @@
     forget(pool, id, false, context);
 }
 
-void note_latency(leaf_state& leaf, duration seen, duration expected,
-                  const pool_options& settings, boot_time now)
-{
-    if (expected <= duration{0}) {
-        return;
-    }
-    const double ratio = std::clamp(static_cast<double>(seen.count()) /
-                                        static_cast<double>(expected.count()),
-                                    least_slowness, most_slowness);
-    const double before = slowness_at(settings, leaf, now);
-    constexpr double weight_of_newest = 0.3;
-    leaf.slowness = before + weight_of_newest * (ratio - before);
-    leaf.sampled_at = now;
-}
-
-void note_outcome(leaf_state& leaf, bool ran, const pool_options& settings,
-                  boot_time now)
-{
-    constexpr double weight_of_newest = 0.2;
-    const double before = decayed(leaf.refusals, leaf.refusals_at, now,
-                                  settings.refusal_half_life);
-    leaf.refusals = before + weight_of_newest * ((ran ? 0.0 : 1.0) - before);
-    leaf.refusals_at = now;
-}
-
-void adapt_limit(leaf_state& leaf, bool ran, duration seen, duration expected,
-                 const pool_options& settings, boot_time now)
-{
-    if (!ran) {
-        limits::decrease(leaf.limit, limits::kept_after_shed, now);
-        return;
-    }
-    const double ratio = expected > duration{0}
-                             ? static_cast<double>(seen.count()) /
-                                   static_cast<double>(expected.count())
-                             : 1.0;
-    if (ratio > settings.queueing_factor) {
-        limits::decrease(leaf.limit, limits::kept_after_queue, now);
-    } else if (leaf.in_flight + 2 > leaf.limit.allowed) {
-        limits::increase(leaf.limit, settings.most_in_flight);
-    }
-}
-
-void avoid(leaf_state& leaf, boot_time until)
-{
-    leaf.avoid_until = std::max(leaf.avoid_until, until);
-}
-
 void prepare_for(leaf_pool& pool, const routing::table_pointer& table,
                  context& context)
 {
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -78,10 +78,10 @@
     limits::concurrency_limit limit; // of in_flight
     std::uint32_t silences = 0;      // overtaken in a row, without an answer
     boot_time avoid_until{};
-    std::uint32_t failures = 0;    // connections in a row that never served
-    std::uint32_t unreachable = 0; // of those, in a row, that never opened
-    boot_time open_after{}; // no connection before, after failures
-    boot_time warm_after{}; // none ahead of requests before
+    std::uint32_t failures = 0;      // connections in a row that never served
+    std::uint32_t unreachable = 0;   // of those, in a row, that never opened
+    boot_time open_after{};          // no connection before, after failures
+    boot_time warm_after{};          // none ahead of requests before
     std::vector<connection_id> idle; // the one used last is at the back
     std::uint32_t connections = 0;   // opening, idle and busy
     boot_time cold_until{};
@@ -116,9 +116,6 @@
 leaf_state* choose(leaf_pool&, const std::string& service,
                    std::span<const std::string> excluded, boot_time now);
 
-// Whether any leaf of the service might take a request now.
-bool any_usable(const leaf_pool&, const std::string& service, boot_time now);
-
 // Takes an idle connection to the leaf for a sending, or opens one that will
 // be the sending's; nothing if the leaf can have no further connection.
 std::optional<connection_id> acquire(leaf_pool&, leaf_state&, sending_id,
@@ -134,17 +131,6 @@
 // Closes a connection of this daemon's own accord.
 void drop(leaf_pool&, connection_id, context&);
 
-// The latency of an answer, beside what was expected of any leaf.
-void note_latency(leaf_state&, duration seen, duration expected,
-                  const pool_options&, boot_time now);
-// Whether the leaf ran a request, for its share of refusals.
-void note_outcome(leaf_state&, bool ran, const pool_options&, boot_time now);
-// Adapts the limit on requests in flight to an answer, to one that came late
-// or to a refusal.
-void adapt_limit(leaf_state&, bool ran, duration seen, duration expected,
-                 const pool_options&, boot_time now);
-void avoid(leaf_state&, boot_time until);
-
 // Takes the limits of a table, and opens connections to the services that it
 // names without delay.
 void prepare_for(leaf_pool&, const routing::table_pointer&, context&);
--- a/libraries/gateway/sendings.cpp
+++ b/libraries/gateway/sendings.cpp
@@ -1,6 +1,7 @@
 #include "libraries/gateway/sendings.hpp"
 
 #include "libraries/gateway/events.hpp"
+#include "libraries/gateway/leaf_evidence.hpp"
 
 #include <algorithm>
 
