gateway: Send callers to large daemons that keep up; budget and connections by size

Cause: on the grown sites 110 of 118 machines have 0.084 of a core. A query over 36 shards keeps such a machine's processor for about 40 ms of a 60 ms objective, each daemon saw 1.2 queries a second and so learned little of its leafs, and its share of the slack was under three extra requests a window.

Members' records carry capacity and an overload flag, told by late timers; the directory names large daemons that keep up; slack and connections are divided by size. Equal fleets decide as before.

--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -69,12 +69,16 @@
 inline constexpr event_definition input_refused{
     8015, severity::warning, "input_refused", "status peer",
     "Bytes from a caller were no request, or over a limit."};
+inline constexpr event_definition load_changed{
+    8016, severity::warning, "load_changed", "overloaded lag_us",
+    "Whether timers fire so late that callers are sent to other daemons, as "
+    "long as most of those keep up."};
 
 inline constexpr std::array all_events = {
     &gateway_started,  &table_in_force,   &stop_begun,     &stop_done,
     &request_refused,  &request_answered, &second_sending, &budget_spent,
     &leaf_refused,     &leaf_broke_off,   &part_missing,   &caller_gone,
-    &sending_given_up, &leaf_unreachable, &input_refused,
+    &sending_given_up, &leaf_unreachable, &input_refused,  &load_changed,
 };
 
 } // namespace bulrushspring::gateway
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -38,21 +38,41 @@
     topology::set_reading(self.topology, reading, now);
 }
 
+// What is known of the fleet only grows: a daemon that is not heard of may
+// still hold connections and spend its share of the budget.
+void measure_fleet(state& self, boot_time now)
+{
+    const auto& view = membership::view_of(self.members);
+    auto& fleet = self.pool.fleet;
+    fleet.known = membership::joined(self.members) ||
+                  now - self.started >= self.settings.peer_patience;
+    fleet.young = now - self.started < self.settings.youth;
+    if (view.generation == self.fleet_measured) {
+        return;
+    }
+    self.fleet_measured = view.generation;
+    const auto& live = view.members;
+    fleet.largest = std::max(fleet.largest, largest_capacity(live));
+    std::size_t near = 0;
+    std::size_t large = 0;
+    for (const auto& member : live) {
+        near += member.data_centre == self.pool.data_centre ? 1 : 0;
+        large += is_large(self.settings.entries, member, fleet.largest) ? 1 : 0;
+    }
+    fleet.size = std::max(fleet.size, live.size());
+    fleet.near = std::max(fleet.near, near);
+    fleet.large = std::max(fleet.large, large);
+    fleet.self_large =
+        is_large(self.settings.entries, membership::self_of(self.members),
+                 fleet.largest);
+}
+
 // Each daemon takes its share of what the site may send beyond the first
-// requests. One that does not know its fleet yet takes none, and one that has
-// just started takes less: its former life may have spent some already.
+// requests; large ones share the greater part, for they serve the callers.
+// One that does not know its fleet yet takes none, and one that has just
+// started takes less: its former life may have spent some already.
 void set_budget(state& self, boot_time now)
 {
-    const auto& live = membership::view_of(self.members).members;
-    const auto near = static_cast<std::size_t>(
-        std::count_if(live.begin(), live.end(), [&](const auto& member) {
-            return member.data_centre == self.pool.data_centre;
-        }));
-    self.pool.fleet_size = std::max(self.pool.fleet_size, live.size());
-    self.pool.near_size = std::max(self.pool.near_size, near);
-    self.pool.fleet_known = membership::joined(self.members) ||
-                            now - self.started >= self.settings.peer_patience;
-    self.pool.young = now - self.started < self.settings.youth;
     auto& limits = self.exchanges.settings.budget;
     if (!membership::joined(self.members)) {
         limits.slack = 0;
@@ -60,9 +80,10 @@
     }
     const double age = static_cast<double>((now - self.started).count()) /
                        static_cast<double>(limits.window.count());
-    limits.slack = self.settings.budget_slack * self.settings.budget_share *
-                   std::min(age, 1.0) /
-                   static_cast<double>(self.pool.fleet_size);
+    limits.slack =
+        self.settings.budget_slack * self.settings.budget_share *
+        std::min(age, 1.0) *
+        share_of_fleet(self.pool.fleet, self.settings.slack_of_large);
 }
 
 void put_in_force(state& self, context& context)
@@ -141,6 +162,7 @@
     membership::reduce(self.members, event, context.shared);
     review_reading(self, context.now);
     to_topology(self, event, context);
+    measure_fleet(self, context.now);
     set_budget(self, context.now);
     maintain(self.pool, context);
     review_table(self, context);
@@ -204,27 +226,28 @@
     to_exchanges(self, event, context);
 }
 
+// Those that callers may be sent to. A daemon that hears nobody does not
+// believe its own suspicions: callers may reach those that it can't.
+std::vector<wire::member_record> entry_candidates(const state& self)
+{
+    auto live = membership::view_of(self.members).members;
+    const auto& own = membership::self_of(self.members).name;
+    std::erase_if(live, [&](const auto& member) {
+        return member.name == own
+                   ? !accepts_callers(self)
+                   : member.status != wire::member_status::alive &&
+                         !self.members.isolated;
+    });
+    return live;
+}
+
 void step(state& self, const entries_asked& event, context& context)
 {
-    auto known = membership::choose_entries(self.members, event.data_centre,
-                                            self.settings.most_entries);
-    if (!accepts_callers(self)) {
-        std::erase_if(known, [&](const auto& entry) {
-            return entry.name == membership::self_of(self.members).name;
-        });
-    }
-    const auto near = static_cast<std::size_t>(
-        std::count_if(known.begin(), known.end(), [&](const auto& entry) {
-            return entry.data_centre == event.data_centre;
-        }));
-    answer_entries answer{event.token, {}, self.settings.entries_hold};
-    for (const auto& entry : known) {
-        if (near < self.settings.enough_near ||
-            entry.data_centre == event.data_centre) {
-            answer.entries.push_back(entry.caller);
-        }
-    }
-    context.emit(std::move(answer));
+    context.emit(answer_entries{event.token,
+                                choose_entries(self.settings.entries,
+                                               entry_candidates(self),
+                                               event.data_centre, self.random),
+                                self.settings.entries_hold});
 }
 
 void step(state& self, const topology::records_learned& event, context& context)
@@ -294,6 +317,19 @@
     context.shared.emit(stop_process{});
 }
 
+// Looks how late this daemon comes to the timer that is due.
+void watch_load(state& self, context& context)
+{
+    const duration lag = context.now - next_wakeup(self);
+    if (!note_lag(self.load, lag, context.now)) {
+        return;
+    }
+    membership::set_overloaded(self.members, self.load.overloaded, context.now);
+    context.log(make_record(
+        load_changed, field("overloaded", self.load.overloaded ? 1 : 0),
+        field("lag_us", static_cast<std::int64_t>(self.load.lag / 1000))));
+}
+
 } // namespace
 
 state make_state(const wire::member_record& self, std::vector<endpoint> seeds,
@@ -302,7 +338,9 @@
     state made;
     made.settings = settings;
     made.started = now;
-    made.members = membership::make_state(self, std::move(seeds),
+    auto own = self;
+    own.capacity = settings.capacity;
+    made.members = membership::make_state(own, std::move(seeds),
                                           settings.membership, self.life, now);
     made.topology = topology::make_state(settings.topology, self.life + 1, now);
     made.pool.settings = settings.pool;
@@ -310,6 +348,8 @@
     made.pool.name = self.name;
     made.pool.data_centre = self.data_centre;
     made.pool.warm_at = now;
+    made.load.settings = settings.load;
+    made.random = random_source{self.life + 3};
     made.exchanges.settings = settings.exchanges;
     return made;
 }
@@ -318,9 +358,11 @@
 {
     // Timers that are due go first: a process that wakes late must learn how
     // late it is before it takes in anything that came meanwhile.
-    if (!std::holds_alternative<tick>(what) &&
-        context.now >= next_wakeup(self)) {
-        step(self, tick{}, context);
+    if (context.now >= next_wakeup(self)) {
+        watch_load(self, context);
+        if (!std::holds_alternative<tick>(what)) {
+            step(self, tick{}, context);
+        }
     }
     std::visit([&](const auto& concrete) { step(self, concrete, context); },
                what);
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -1,7 +1,9 @@
 #ifndef BULRUSHSPRING_LIBRARIES_GATEWAY_GATEWAY_HPP
 #define BULRUSHSPRING_LIBRARIES_GATEWAY_GATEWAY_HPP
 
+#include "libraries/gateway/entries.hpp"
 #include "libraries/gateway/exchange.hpp"
+#include "libraries/gateway/load.hpp"
 #include "libraries/membership/membership.hpp"
 
 #include <optional>
@@ -16,12 +18,18 @@
     exchange_options exchanges;
     topology::options topology;
     membership::options membership;
+    entry_options entries;
+    load_options load;
+    // Of this VM's processor, in thousandths of a core; 0: not told.
+    std::uint32_t capacity = 0;
     // The site's limit on extra requests to one service in a window; the
     // daemons divide it.
     double budget_slack = 0.0;
     // Share of that limit that the fleet uses, for views that differ and
     // clocks of windows that don't agree.
     double budget_share = 0.95;
+    // Share of the slack that is for large daemons where not all are.
+    double slack_of_large = 0.8;
     // How long callers may keep the list of daemons.
     duration entries_hold = seconds{1};
     // Some callers keep it this many times as long.
@@ -30,8 +38,6 @@
     duration stop_grace = seconds{6};
     // Kept back of that for the last answers.
     duration stop_reserve = milliseconds{700};
-    // Callers of a data centre are kept in it while it has so many daemons.
-    std::size_t enough_near = 3;
     // Daemons of each data centre that read the store; others learn from
     // them. Several, since a reader may be killed or turned away.
     std::size_t readers = 3;
@@ -43,7 +49,6 @@
     duration table_patience = milliseconds{500};
     // After this time a daemon has heard of the whole fleet.
     duration youth = seconds{3};
-    std::size_t most_entries = 64;
     // What a caller is told to wait before it asks a daemon that starts.
     duration start_retry_after = milliseconds{50};
 };
@@ -54,7 +59,10 @@
     topology::state topology;
     leaf_pool pool;
     exchanges_state exchanges;
-    routing::table_pointer table; // in force
+    load_state load;
+    random_source random;
+    std::uint64_t fleet_measured = 0; // generation of the view
+    routing::table_pointer table;     // in force
     // Accepted, and in force as soon as its services can be reached.
     routing::table_pointer coming;
     boot_time coming_by{};
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -78,12 +78,32 @@
 {
     const auto key = [&](const leaf_state& leaf) {
         const bool near = leaf.published.data_centre == pool.data_centre &&
-                          static_cast<double>(pool.near_size) <= share * 0.6;
+                          static_cast<double>(pool.fleet.near) <= share * 0.6;
         return std::tuple(is_bad(pool, leaf, now), !near, leaf.placement);
     };
     return key(left) < key(right);
 }
 
+// What of a leaf's connections is for this daemon, as a fraction.
+double connections_each(const leaf_pool& pool, double usable_limit)
+{
+    const auto& settings = pool.settings;
+    const auto& fleet = pool.fleet;
+    const auto large = static_cast<double>(fleet.large);
+    const auto others = static_cast<double>(fleet.size) - large;
+    if (others <= 0) {
+        return std::min<double>(usable_limit / large,
+                                settings.most_connections);
+    }
+    const double of_large =
+        std::min<double>(usable_limit * settings.connections_of_large / large,
+                         settings.most_connections_of_large);
+    return fleet.self_large
+               ? of_large
+               : std::min<double>((usable_limit - of_large * large) / others,
+                                  settings.most_connections);
+}
+
 // How many connections this daemon may hold to a leaf, so that the fleet
 // keeps to the leaf's limit without asking one another. Where there are fewer
 // connections than daemons, each daemon gets some of the leafs.
@@ -95,11 +115,9 @@
         return 0; // no table is known
     }
     const double usable_limit = limit * pool.settings.connection_share;
-    const auto fleet = static_cast<double>(pool.fleet_size);
-    const double each = usable_limit / fleet;
-    if (each >= 1.0 && !pool.young) {
-        return std::min(static_cast<std::uint32_t>(each),
-                        pool.settings.most_connections);
+    const double each = connections_each(pool, usable_limit);
+    if (each >= 1.0 && !pool.fleet.young) {
+        return static_cast<std::uint32_t>(each);
     }
     const auto& ids = pool.by_service.at(leaf.published.service);
     std::uint32_t leafs = 0;
@@ -112,10 +130,10 @@
                 placed_before(pool, other, leaf, usable_limit, now) ? 1 : 0;
         }
     }
-    const auto chosen =
-        std::max(static_cast<std::uint32_t>(usable_limit * leafs / fleet), 1U);
+    const auto chosen = std::max(static_cast<std::uint32_t>(each * leafs), 1U);
     constexpr std::uint32_t chosen_by_young = 2; // one, and one to overtake it
-    return before < (pool.young ? std::min(chosen, chosen_by_young) : chosen)
+    return before < (pool.fleet.young ? std::min(chosen, chosen_by_young)
+                                      : chosen)
                ? 1
                : 0;
 }
@@ -205,7 +223,7 @@
             drop(pool, id, context);
         }
     }
-    if (pool.fleet_known && leaf.connections == 0 && leaf.listed &&
+    if (pool.fleet.known && leaf.connections == 0 && leaf.listed &&
         context.now >= leaf.open_after && context.now >= leaf.warm_after &&
         pool.opening < pool.settings.most_opening &&
         connection_share(pool, leaf, context.now) > 0) {
@@ -230,6 +248,17 @@
 
 } // namespace
 
+double share_of_fleet(const fleet_shape& fleet, double share_of_large)
+{
+    const auto large = static_cast<double>(fleet.large);
+    const auto others = static_cast<double>(fleet.size) - large;
+    if (others <= 0) {
+        return 1.0 / large;
+    }
+    return fleet.self_large ? share_of_large / large
+                            : (1.0 - share_of_large) / others;
+}
+
 void apply(leaf_pool& pool, const topology::leaf_changed& change,
            context& context)
 {
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -29,6 +29,11 @@
     duration open_timeout = milliseconds{250};
     // What one daemon holds at most to a leaf, whatever its limit.
     std::uint32_t most_connections = 4;
+    // Share of the fleet's connections that large daemons take where not all
+    // are, and what one of them holds at most to a leaf. They serve callers
+    // while they live; the others need some to be ready.
+    double connections_of_large = 0.25;
+    std::uint32_t most_connections_of_large = 2;
     // Share of a leaf's connection limit that the fleet uses, so that views
     // that differ and connections that linger at the leaf fit too.
     double connection_share = 0.85;
@@ -89,6 +94,23 @@
     std::uint64_t placement = 0;
 };
 
+// What is known of the daemons that share the leafs.
+struct fleet_shape {
+    std::size_t size = 1;      // most daemons ever seen
+    std::size_t near = 1;      // of those, in this daemon's data centre
+    std::size_t large = 1;     // of those, with the largest VMs
+    std::uint32_t largest = 0; // capacity ever seen
+    bool self_large = true;
+    bool known = false; // until then no connection is opened ahead
+    // A young daemon has not heard of all others yet, and keeps to what any
+    // daemon may have.
+    bool young = true;
+};
+
+// This daemon's share of what the fleet divides, if the large ones take that
+// share of it among themselves.
+double share_of_fleet(const fleet_shape&, double share_of_large);
+
 struct leaf_pool {
     pool_options settings;
     random_source random;
@@ -99,13 +121,8 @@
     std::unordered_map<std::uint64_t, leaf_connection> connections;
     routing::table_pointer table;
     std::uint32_t opening = 0;
-    std::size_t fleet_size = 1; // most daemons ever seen
-    std::size_t near_size = 1;  // of those, in this daemon's data centre
+    fleet_shape fleet;
     boot_time warm_at{};
-    bool fleet_known = false; // until then no connection is opened ahead
-    // A young daemon has not heard of all others yet, and keeps to what any
-    // daemon may have.
-    bool young = true;
 };
 
 void apply(leaf_pool&, const topology::leaf_changed&, context&);
--- a/libraries/membership/membership.cpp
+++ b/libraries/membership/membership.cpp
@@ -319,6 +319,14 @@
         write_log{make_record(leaving_announced, field("life", self.life))});
 }
 
+void set_overloaded(state& membership, bool overloaded, boot_time now)
+{
+    auto self = self_record(membership);
+    self.overloaded = overloaded;
+    set_record(membership, self_index, self, now);
+    announce_self(membership, self.refutation + 1, now);
+}
+
 void set_digest(state& membership, const wire::digest& in_force)
 {
     if (in_force == membership.in_force) {
--- a/libraries/membership/membership.hpp
+++ b/libraries/membership/membership.hpp
@@ -41,6 +41,9 @@
 // out at once.
 void set_digest(state&, const wire::digest& in_force);
 
+// Tells everyone whether this daemon keeps callers waiting.
+void set_overloaded(state&, bool overloaded, boot_time now);
+
 const view& view_of(const state&);
 const wire::member_record& self_of(const state&);
 
--- a/libraries/wire/datagram.cpp
+++ b/libraries/wire/datagram.cpp
@@ -207,7 +207,8 @@
     std::size_t size =
         flag_bytes + text_size(record.name) + text_size(record.data_centre) +
         text_size(record.region) + address_bytes + 3 * port_bytes +
-        varint_size(record.life) + varint_size(record.refutation);
+        varint_size(record.life) + varint_size(record.refutation) +
+        varint_size(record.capacity);
     const auto flags = record_flags(record);
     if ((flags & own_caller_address) != 0) {
         size += address_bytes;
--- a/libraries/wire/envelope.hpp
+++ b/libraries/wire/envelope.hpp
@@ -12,7 +12,7 @@
 {
 
 // The version of the format; a daemon refuses what carries another.
-inline constexpr std::uint8_t format_version = 1;
+inline constexpr std::uint8_t format_version = 2;
 
 // What stands before the content: the version and a checksum of 4 bytes.
 inline constexpr std::size_t envelope_bytes = 5;
--- a/libraries/wire/message.hpp
+++ b/libraries/wire/message.hpp
@@ -27,6 +27,8 @@
     incarnation life = 0;
     std::uint32_t refutation = 0; // raised by the member to refute suspicion
     member_status status = member_status::alive;
+    std::uint32_t capacity = 0; // thousandths of a core; 0: not told
+    bool overloaded = false;    // it keeps callers waiting for its processor
 
     bool operator==(const member_record&) const = default;
 };
--- a/libraries/wire/serialize.hpp
+++ b/libraries/wire/serialize.hpp
@@ -170,6 +170,10 @@
 inline constexpr std::uint8_t status_bits = 0x03;
 inline constexpr std::uint8_t own_caller_address = 0x04;
 inline constexpr std::uint8_t own_operators_address = 0x08;
+inline constexpr std::uint8_t overloaded_bit = 0x10;
+inline constexpr std::uint8_t known_flags = status_bits | own_caller_address |
+                                            own_operators_address |
+                                            overloaded_bit;
 
 inline std::uint8_t record_flags(const member_record& record)
 {
@@ -180,6 +184,9 @@
     if (record.operators.address != record.peer.address) {
         flags |= own_operators_address;
     }
+    if (record.overloaded) {
+        flags |= overloaded_bit;
+    }
     return flags;
 }
 
@@ -208,10 +215,11 @@
 {
     std::uint8_t flags = record_flags(record);
     archive(flags);
-    if (flags > (status_bits | own_caller_address | own_operators_address)) {
+    if (flags > known_flags) {
         throw cereal::Exception("unknown flags of a member");
     }
     record.status = static_cast<member_status>(flags & status_bits);
+    record.overloaded = (flags & overloaded_bit) != 0;
     archive(bounded_text{record.name, most_name_bytes},
             bounded_text{record.data_centre, most_name_bytes},
             bounded_text{record.region, most_name_bytes});
@@ -221,7 +229,8 @@
     serialize_endpoint(archive, record.operators,
                        (flags & own_operators_address) != 0,
                        record.peer.address);
-    archive(varint{record.life}, varint{record.refutation});
+    archive(varint{record.life}, varint{record.refutation},
+            varint{record.capacity});
 }
 
 template <typename Archive>
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -22,10 +22,11 @@
     leaf_pool pool;
     pool.name = name;
     pool.data_centre = data_centre;
-    pool.fleet_size = fleet;
-    pool.near_size = near;
-    pool.fleet_known = true;
-    pool.young = false;
+    pool.fleet.size = fleet;
+    pool.fleet.near = near;
+    pool.fleet.large = fleet;
+    pool.fleet.known = true;
+    pool.fleet.young = false;
     auto table = std::make_shared<routing::table>();
     table->services["s"] = {"s", "/health", connection_limit};
     pool.table = table;
--- a/tests/wire/generators.hpp
+++ b/tests/wire/generators.hpp
@@ -34,6 +34,8 @@
     record.life = *rc::gen::arbitrary<std::uint64_t>();
     record.refutation = *rc::gen::arbitrary<std::uint32_t>();
     record.status = static_cast<wire::member_status>(*rc::gen::inRange(0, 4));
+    record.capacity = *rc::gen::arbitrary<std::uint32_t>();
+    record.overloaded = *rc::gen::arbitrary<bool>();
     return record;
 }
 
