topology: Readers that follow others call the store less often

The first reader of each data centre still does; the others wait a third of the time that a change may take, which bounds how late they notice that the first is gone. Ruled out: fewer readers (all of them may be turned away at once).

--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -17,25 +17,34 @@
 
 constexpr milliseconds review_interval{200};
 
-// Decides whether this daemon reads the store. One that has no routes yet
-// does at once, whoever else reads, and so does one that hears of nobody.
-// Views of the fleet that differ only cost a reader more.
+// Decides what this daemon has to do with the store. One that has no routes
+// yet reads it at once, whoever else does, and so does one that hears of
+// nobody. Views of the fleet that differ only cost a reader more.
+topology::store_role store_role_of(const state& self)
+{
+    if (!self.ready || self.members.isolated ||
+        !membership::joined(self.members)) {
+        return topology::store_role::leader;
+    }
+    const configuration::peers fleet{membership::view_of(self.members).members,
+                                     membership::self_of(self.members)};
+    const auto review =
+        configuration::review_readers(fleet, self.settings.readers);
+    if (!review.reading) {
+        return topology::store_role::none;
+    }
+    return review.readers.front() == fleet.self.name
+               ? topology::store_role::leader
+               : topology::store_role::follower;
+}
+
 void review_reading(state& self, boot_time now)
 {
     if (now < self.review_at) {
         return;
     }
     self.review_at = now + review_interval;
-    bool reading = !self.ready || self.members.isolated ||
-                   !membership::joined(self.members);
-    if (!reading) {
-        const configuration::peers fleet{
-            membership::view_of(self.members).members,
-            membership::self_of(self.members)};
-        reading =
-            configuration::review_readers(fleet, self.settings.readers).reading;
-    }
-    topology::set_reading(self.topology, reading, now);
+    topology::set_role(self.topology, store_role_of(self), now);
 }
 
 // What is known of the fleet only grows: a daemon that is not heard of may
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -9,6 +9,11 @@
 namespace
 {
 
+bool reads(const state& self)
+{
+    return self.role != store_role::none;
+}
+
 // A wait that doubles with each failure up to a limit, less up to a half.
 duration backoff(state& self)
 {
@@ -160,7 +165,9 @@
     self.calling = false;
     self.listed = true;
     self.answered_at = context.now;
-    self.call_at = context.now + self.settings.watch_spacing;
+    self.call_at = context.now + (self.role == store_role::follower
+                                      ? self.settings.follower_spacing
+                                      : self.settings.watch_spacing);
 }
 
 void call_store(state& self, outcome& result, context& context)
@@ -199,8 +206,8 @@
     self.seen_at = from.peer;
     if (!waiting) {
         self.fetch_at =
-            now + (self.reading ? self.settings.peer_advantage
-                                : self.settings.peer_advantage_of_others);
+            now + (reads(self) ? self.settings.peer_advantage
+                               : self.settings.peer_advantage_of_others);
     }
 }
 
@@ -232,7 +239,7 @@
 void reduce(state& self, const tick& /*event*/, outcome& result,
             context& context)
 {
-    if (self.reading && !self.calling && context.now >= self.call_at) {
+    if (reads(self) && !self.calling && context.now >= self.call_at) {
         call_store(self, result, context);
     }
     if (self.seen_revision > self.revision && !self.asking &&
@@ -319,12 +326,18 @@
     }
 }
 
-void set_reading(state& self, bool reading, boot_time now)
+void set_role(state& self, store_role role, boot_time now)
 {
-    if (reading && !self.reading) {
+    if (!reads(self)) {
         self.call_at = std::max(self.call_at, now);
     }
-    self.reading = reading;
+    const bool promoted =
+        role == store_role::leader && self.role == store_role::follower;
+    if (promoted && self.failures == 0) {
+        self.call_at =
+            std::min(self.call_at, now + self.settings.watch_spacing);
+    }
+    self.role = role;
 }
 
 wire::digest digest_of(const state& self)
@@ -336,7 +349,7 @@
 
 bool fresh(const state& self, boot_time now)
 {
-    if (self.reading &&
+    if (reads(self) &&
         (self.answered_at == boot_time::min() || self.failures > 0)) {
         return false;
     }
@@ -347,7 +360,7 @@
 boot_time next_wakeup(const state& self)
 {
     boot_time next = boot_time::max();
-    if (self.reading && !self.calling) {
+    if (reads(self) && !self.calling) {
         next = self.call_at;
     }
     if (self.seen_revision > self.revision && !self.asking) {
--- a/libraries/topology/topology.hpp
+++ b/libraries/topology/topology.hpp
@@ -68,6 +68,9 @@
     duration longest_wait = seconds{25}; // below the 30 s that it allows
     // Changes that come within this time of each other share one call.
     duration watch_spacing = milliseconds{150};
+    // The same for a reader that follows others: peers tell it of most
+    // changes, and it only has to notice in time that they don't.
+    duration follower_spacing = milliseconds{1000};
     duration least_backoff = milliseconds{100};
     duration most_backoff = milliseconds{1500};
     // How long a change that a peer has may take to come from the store
@@ -83,6 +86,10 @@
     duration removal_retention = seconds{60};
 };
 
+// What a daemon has to do with the store. Those without a part in it learn
+// from peers. Followers read it too, less often.
+enum class store_role : std::uint8_t { none, follower, leader };
+
 struct known_record {
     wire::published_record published;
     boot_time removed_at{};
@@ -97,7 +104,7 @@
     std::uint64_t forgotten = 0;  // no removal above it was forgotten
     routing::table_pointer table; // null until one is known
     // The store.
-    bool reading = false; // this daemon is one of those that read it
+    store_role role = store_role::none;
     bool calling = false;
     bool listed = false; // read whole since the history was last lost
     std::uint32_t failures = 0;
@@ -141,9 +148,8 @@
 // records_learned.
 void reduce(state&, const peer_replied&, outcome&, context&);
 
-// Whether this daemon is to read the store itself. The others learn from
-// peers; a call in progress is not broken off.
-void set_reading(state&, bool reading, boot_time now);
+// What this daemon is to do. A call in progress is not broken off.
+void set_role(state&, store_role, boot_time now);
 
 // The revision known here, in the form that datagrams carry.
 wire::digest digest_of(const state&);
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -19,6 +19,9 @@
                           "seeds=10.1.0.39:8224,10.2.0.33:8224\n"
                           "bounds.graceS=6\n"
                           "bounds.configApplyMs=3000\n"
+                          "bounds.drainMs=2400\n"
+                          "limits.cpuShare=0.17\n"
+                          "limits.cores=2\n"
                           "bounds.retryBudgetRatio=0.2\n"
                           "bounds.budgetWindowS=10\n"
                           "bounds.retryBudgetSlack=116\n"
@@ -43,6 +46,9 @@
     BOOST_TEST((settings.gateway.stop_grace == seconds{6}));
     BOOST_TEST((settings.gateway.table_patience == milliseconds{500}));
     BOOST_TEST(settings.gateway.budget_slack == 116.0);
+    BOOST_TEST(settings.gateway.capacity == 340U);
+    BOOST_TEST(
+        (settings.gateway.topology.follower_spacing == milliseconds{800}));
 }
 
 BOOST_AUTO_TEST_CASE(all_faults_are_told_at_once)
--- a/tests/topology/topology_test.cpp
+++ b/tests/topology/topology_test.cpp
@@ -15,7 +15,7 @@
     outcome result;
     topology::state state = make_state({}, 1, clock.now());
 
-    fixture() { set_reading(state, true, clock.now()); }
+    fixture() { set_role(state, store_role::leader, clock.now()); }
 
     template <typename Event>
     void feed(const Event& what)
@@ -218,10 +218,57 @@
 
 BOOST_FIXTURE_TEST_CASE(others_leave_the_reading_to_readers, fixture)
 {
-    set_reading(state, false, clock.now());
+    set_role(state, store_role::none, clock.now());
     BOOST_TEST(calls().empty());
     show(4);
     clock.advance(state.settings.peer_advantage_of_others);
     feed(tick{});
     BOOST_TEST(asks() == 1U);
 }
+
+// A change that peers pass on must not cost a call of each reader; one that
+// they don't must still be noticed in time.
+BOOST_FIXTURE_TEST_CASE(a_follower_reads_less_often_than_a_leader, fixture)
+{
+    const auto calls_in = [&](duration span) {
+        std::size_t count = 0;
+        for (duration left = span; left > duration{0};
+             left -= milliseconds{10}) {
+            clock.advance(milliseconds{10});
+            feed(tick{});
+            const auto made = calls().size();
+            count += made;
+            result.calls.clear();
+            if (made > 0) {
+                learn(state.revision + 1, false, {});
+            }
+        }
+        return count;
+    };
+    learn(9, true, {});
+    const auto by_leader = calls_in(seconds{6});
+    set_role(state, store_role::follower, clock.now());
+    const auto by_follower = calls_in(seconds{6});
+    BOOST_TEST(by_follower * 3 < by_leader);
+    BOOST_TEST(by_follower >= 5U);
+    // Promoted, it does not wait for the rest of its pause.
+    set_role(state, store_role::leader, clock.now());
+    BOOST_TEST(calls_in(milliseconds{200}) >= 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_review_does_not_cut_a_backoff_short, fixture)
+{
+    learn(9, true, {});
+    for (int i = 0; i < 10; ++i) {
+        clock.advance(seconds{3});
+        feed(tick{});
+        feed(store_failed{error{errc::closed, "read", "store", ""}, false});
+    }
+    result.calls.clear();
+    const auto due = state.call_at;
+    BOOST_TEST((due > clock.now() + milliseconds{500}));
+    set_role(state, store_role::leader, clock.now());
+    set_role(state, store_role::follower, clock.now());
+    set_role(state, store_role::leader, clock.now());
+    BOOST_TEST((state.call_at == due));
+}
