topology: Bound how long a call waits at the store

All nine readers had sent a call with a wait of 25 s to a store that had just fallen silent; it swallowed them, and nobody called again for 26.5 s, though the store was back after 4 s. Seen in the log: no E9005 and no table in force after 23 s. Ruled out: the pause of followers alone (the calls of leaders were swallowed too), back-off (no call had failed).

--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -177,7 +177,9 @@
     context.emit(add_to_counter{metrics::counter::platform_reads});
     if (self.listed) {
         result.calls.emplace_back(
-            watch_changes{self.revision, self.settings.longest_wait});
+            watch_changes{self.revision, self.role == store_role::follower
+                                             ? self.settings.follower_wait
+                                             : self.settings.leader_wait});
     } else {
         result.calls.emplace_back(read_all{});
     }
--- a/libraries/topology/topology.hpp
+++ b/libraries/topology/topology.hpp
@@ -64,15 +64,18 @@
 using store_call = std::variant<read_all, watch_changes>;
 
 struct options {
-    // How long the store may hold a call that waits for a change.
-    duration longest_wait = seconds{25}; // below the 30 s that it allows
+    // How long a call waits for a change. The store may have swallowed it and
+    // be back: a leader finds out within a third of the shortest time that a
+    // change may take, followers, of which there are several, later.
+    duration leader_wait = milliseconds{1000};
+    duration follower_wait = milliseconds{5000};
     // Changes that come within this time of each other share one call.
     duration watch_spacing = milliseconds{150};
     // The same for a reader that follows others: peers tell it of most
     // changes, and it only has to notice in time that they don't.
     duration follower_spacing = milliseconds{1000};
     duration least_backoff = milliseconds{100};
-    duration most_backoff = milliseconds{1500};
+    duration most_backoff = milliseconds{1000};
     // How long a change that a peer has may take to come from the store
     // before it is fetched from the peer.
     duration peer_advantage = milliseconds{200};
--- a/tests/topology/topology_test.cpp
+++ b/tests/topology/topology_test.cpp
@@ -272,3 +272,25 @@
     set_role(state, store_role::leader, clock.now());
     BOOST_TEST((state.call_at == due));
 }
+
+// A call that the store swallowed must not keep a reader from the changes
+// that follow: what waits is given up within the time that a change may take.
+BOOST_FIXTURE_TEST_CASE(a_waiting_call_is_short_enough_to_be_lost, fixture)
+{
+    constexpr milliseconds change_may_take{3000};
+    const auto wait_of = [&](store_role role) {
+        set_role(state, role, clock.now());
+        learn(state.revision + 1, false, {});
+        result.calls.clear();
+        clock.advance(seconds{2});
+        feed(tick{});
+        const auto made = calls();
+        BOOST_REQUIRE_EQUAL(made.size(), 1U);
+        return std::get<watch_changes>(made[0]).wait;
+    };
+    learn(9, true, {});
+    BOOST_TEST((wait_of(store_role::leader) <= change_may_take / 3));
+    // Followers wait longer: there are several, and each call is paid for.
+    BOOST_TEST((wait_of(store_role::follower) > change_may_take / 3));
+    BOOST_TEST((wait_of(store_role::follower) <= 2 * change_may_take));
+}
