platformd: Take changed settings while running, also without a signal

Cause: a settings file that changed was checked on SIGHUP alone and was in force at the next start, so that seeds and limits stayed old.

--- a/libraries/gateway/event.hpp
+++ b/libraries/gateway/event.hpp
@@ -62,12 +62,20 @@
     std::string data_centre; // where the caller is
 };
 
+struct options;
+
+// The settings file has changed. Addresses and names stay as they were.
+struct settings_changed {
+    std::shared_ptr<const options> settings;
+    std::vector<endpoint> seeds;
+};
+
 // All that the reducer takes in.
 using any_event =
-    std::variant<tick, forward_asked, caller_left, leaf_connected, leaf_replied,
-                 leaf_disconnected, entries_asked, topology::records_learned,
-                 topology::store_failed, datagram_received, peer_asked,
-                 peer_replied, stop_requested>;
+    std::variant<tick, settings_changed, forward_asked, caller_left,
+                 leaf_connected, leaf_replied, leaf_disconnected, entries_asked,
+                 topology::records_learned, topology::store_failed,
+                 datagram_received, peer_asked, peer_replied, stop_requested>;
 
 } // namespace bulrushspring::gateway
 
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -287,6 +287,22 @@
     to_topology(self, event, context);
 }
 
+void step(state& self, const settings_changed& event, context& context)
+{
+    const auto& settings = *event.settings;
+    self.settings = settings;
+    self.pool.settings = settings.pool;
+    self.topology.settings = settings.topology;
+    self.load.settings = settings.load;
+    self.members.settings = settings.membership;
+    self.members.seeds = event.seeds;
+    self.exchanges.settings = settings.exchanges;
+    set_budget(self, context.now);
+    if (membership::self_of(self.members).capacity != settings.capacity) {
+        membership::set_capacity(self.members, settings.capacity, context.now);
+    }
+}
+
 void step(state& self, const stop_requested& event, context& context)
 {
     if (self.stop_asked) {
--- a/libraries/gateway_shell/events.hpp
+++ b/libraries/gateway_shell/events.hpp
@@ -9,8 +9,9 @@
 {
 
 inline constexpr event_definition settings_read{
-    1101, severity::info, "settings_read", "outcome",
-    "The settings file was read again."};
+    1101, severity::info, "settings_read", "outcome detail",
+    "The settings file was read again. What can't be used leaves the settings "
+    "as they were; `detail` says why, or what waits for the next start."};
 inline constexpr event_definition input_unreadable{
     1102, severity::warning, "input_unreadable", "step peer cause",
     "Something that came in over a network could not be read and was "
--- a/libraries/gateway_shell/runner.cpp
+++ b/libraries/gateway_shell/runner.cpp
@@ -3,6 +3,7 @@
 #include "libraries/gateway/events.hpp"
 #include "libraries/gateway_shell/events.hpp"
 
+#include <tuple>
 #include <unistd.h>
 
 namespace bulrushspring::gateway_shell
@@ -70,6 +71,7 @@
 
 void runner::make_state(const settings& settings)
 {
+    settings_ = settings;
     wire::member_record self;
     self.name = settings.name;
     self.data_centre = settings.data_centre;
@@ -191,9 +193,24 @@
     log_.flush();
 }
 
-void runner::note_settings(std::string_view outcome)
+void runner::apply(const settings& changed)
 {
-    log_.write(make_record(settings_read, field("outcome", outcome)),
+    const auto places = [](const settings& of) {
+        return std::tie(of.name, of.data_centre, of.region, of.callers,
+                        of.readiness, of.peers, of.directory, of.metrics);
+    };
+    const bool moved = places(changed) != places(settings_);
+    post(gateway::settings_changed{
+        std::make_shared<const gateway::options>(changed.gateway),
+        changed.seeds});
+    note_settings("in_force",
+                  moved ? "names and addresses at the next start" : "");
+}
+
+void runner::note_settings(std::string_view outcome, std::string_view detail)
+{
+    log_.write(make_record(settings_read, field("outcome", outcome),
+                           field("detail", detail)),
                clock_.now());
 }
 
--- a/libraries/gateway_shell/runner.hpp
+++ b/libraries/gateway_shell/runner.hpp
@@ -47,7 +47,10 @@
     void run();
 
     void stop() { post(stop_requested{}); }
-    void note_settings(std::string_view outcome);
+    // Takes settings that have changed. Names and addresses stay.
+    void apply(const settings& changed);
+    // Tells in the log what became of settings that were read again.
+    void note_settings(std::string_view outcome, std::string_view detail);
     event_base* base() { return base_.get(); }
     const gateway::state& state() const { return *state_; }
 
@@ -77,6 +80,7 @@
     static void notice_time(evutil_socket_t socket, short what, void* self);
 
     const clock& clock_;
+    settings settings_; // as at the start
     protocol protocol_;
     shell::base_handle base_;
     metrics::registry metrics_;
--- /dev/null
+++ b/libraries/gateway_shell/settings_file.cpp
@@ -0,0 +1,50 @@
+#include "libraries/gateway_shell/settings_file.hpp"
+
+#include <fstream>
+#include <iterator>
+
+namespace bulrushspring::gateway_shell
+{
+
+std::optional<std::string> read_file(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+settings_file::settings_file(event_base* base, std::string path,
+                             std::string content, callbacks act,
+                             duration interval)
+    : path_(std::move(path)), content_(std::move(content)),
+      act_(std::move(act)),
+      timer_(event_new(base, -1, EV_PERSIST, pass_time, this))
+{
+    const timeval each = shell::to_timeval(interval);
+    event_add(timer_.get(), &each);
+}
+
+bool settings_file::look()
+{
+    auto content = read_file(path_);
+    if (!content) {
+        act_.unreadable();
+        return false;
+    }
+    if (*content == content_) {
+        return false;
+    }
+    content_ = std::move(*content);
+    act_.changed(content_);
+    return true;
+}
+
+void settings_file::pass_time(evutil_socket_t /*socket*/, short /*what*/,
+                              void* self)
+{
+    static_cast<settings_file*>(self)->look();
+}
+
+} // namespace bulrushspring::gateway_shell
--- a/libraries/membership/membership.cpp
+++ b/libraries/membership/membership.cpp
@@ -327,6 +327,14 @@
     announce_self(membership, self.refutation + 1, now);
 }
 
+void set_capacity(state& membership, std::uint32_t capacity, boot_time now)
+{
+    auto self = self_record(membership);
+    self.capacity = capacity;
+    set_record(membership, self_index, self, now);
+    announce_self(membership, self.refutation + 1, now);
+}
+
 void set_digest(state& membership, const wire::digest& in_force)
 {
     if (in_force == membership.in_force) {
--- a/libraries/membership/membership.hpp
+++ b/libraries/membership/membership.hpp
@@ -44,6 +44,9 @@
 // Tells everyone whether this daemon keeps callers waiting.
 void set_overloaded(state&, bool overloaded, boot_time now);
 
+// Tells everyone of another size of this daemon's VM.
+void set_capacity(state&, std::uint32_t capacity, boot_time now);
+
 const view& view_of(const state&);
 const wire::member_record& self_of(const state&);
 
--- a/services/bulrushspring_platformd.cpp
+++ b/services/bulrushspring_platformd.cpp
@@ -1,4 +1,5 @@
 #include "libraries/gateway_shell/runner.hpp"
+#include "libraries/gateway_shell/settings_file.hpp"
 #include "platform/messages.hpp"
 #include "platform/settings.hpp"
 #include "platform/store_client.hpp"
@@ -9,9 +10,7 @@
 #include <absl/flags/usage_config.h>
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 ABSL_FLAG(std::string, settings, "",
           "The platform's settings file; without it, the path in the variable "
@@ -29,15 +28,6 @@
 constexpr int exit_usage = 2;
 constexpr int exit_cannot_start = 1;
 
-std::optional<std::string> read_file(const std::string& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return std::nullopt;
-    }
-    return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 std::string settings_path()
 {
     const std::string given = absl::GetFlag(FLAGS_settings);
@@ -45,19 +35,19 @@
     return given.empty() && named != nullptr ? named : given;
 }
 
-// Reads and checks the file; tells all faults.
-std::optional<platform::settings> load(const std::string& path)
+std::string to_string(const platform::settings_fault& fault)
+{
+    return fault.key + ": expected " + fault.expected;
+}
+
+// Checks the content of the file; tells all faults.
+std::optional<platform::settings> check(const std::string& path,
+                                        const std::string& content)
 {
-    const auto content = read_file(path);
-    if (!content) {
-        std::cerr << path << ": can't be read\n";
-        return std::nullopt;
-    }
     platform::settings settings;
-    const auto faults = platform::parse_settings(*content, settings);
+    const auto faults = platform::parse_settings(content, settings);
     for (const auto& fault : faults) {
-        std::cerr << path << ": " << fault.key << ": expected "
-                  << fault.expected << '\n';
+        std::cerr << path << ": " << to_string(fault) << '\n';
     }
     if (!faults.empty()) {
         return std::nullopt;
@@ -72,16 +62,13 @@
 
 void reload_on_signal(evutil_socket_t /*signal*/, short /*what*/, void* which)
 {
-    const bool readable = load(settings_path()).has_value();
-    static_cast<gateway_shell::runner*>(which)->note_settings(
-        readable ? "in force at the next start" : "faults");
+    static_cast<gateway_shell::settings_file*>(which)->look();
 }
 
-shell::event_handle watch_signal(gateway_shell::runner& daemon, int number,
-                                 event_callback_fn act)
+shell::event_handle watch_signal(event_base* base, int number,
+                                 event_callback_fn act, void* which)
 {
-    shell::event_handle watch(
-        evsignal_new(daemon.base(), number, act, &daemon));
+    shell::event_handle watch(evsignal_new(base, number, act, which));
     event_add(watch.get(), nullptr);
     return watch;
 }
@@ -95,7 +82,31 @@
             from.seeds,     from.gateway};
 }
 
-int run(const platform::settings& settings)
+// Takes a changed file if it has no fault.
+void reload(gateway_shell::runner& daemon, const std::string& content)
+{
+    platform::settings changed;
+    const auto faults = platform::parse_settings(content, changed);
+    if (faults.empty()) {
+        daemon.apply(shell_settings(changed));
+    } else {
+        daemon.note_settings("refused", to_string(faults.front()));
+    }
+}
+
+gateway_shell::settings_file watch_file(gateway_shell::runner& daemon,
+                                        const std::string& path,
+                                        const std::string& content)
+{
+    return {daemon.base(),
+            path,
+            content,
+            {[&](const std::string& changed) { reload(daemon, changed); },
+             [&] { daemon.note_settings("refused", "can't be read"); }}};
+}
+
+int run(const std::string& path, const std::string& content,
+        const platform::settings& settings)
 {
     const machine_clock clock;
     auto daemon = gateway_shell::runner::start(
@@ -108,9 +119,12 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     auto& running = *daemon.value();
-    const auto terminate = watch_signal(running, SIGTERM, stop_on_signal);
-    const auto interrupt = watch_signal(running, SIGINT, stop_on_signal);
-    const auto reload = watch_signal(running, SIGHUP, reload_on_signal);
+    auto file = watch_file(running, path, content);
+    auto* base = running.base();
+    const auto terminate =
+        watch_signal(base, SIGTERM, stop_on_signal, &running);
+    const auto interrupt = watch_signal(base, SIGINT, stop_on_signal, &running);
+    const auto hang_up = watch_signal(base, SIGHUP, reload_on_signal, &file);
     running.run();
     return 0;
 }
@@ -133,9 +147,15 @@
                      "[--check]\n";
         return exit_usage;
     }
-    const auto settings = load(settings_path());
+    const auto path = settings_path();
+    const auto content = gateway_shell::read_file(path);
+    if (!content) {
+        std::cerr << path << ": can't be read\n";
+        return exit_usage;
+    }
+    const auto settings = check(path, *content);
     if (!settings) {
         return exit_usage;
     }
-    return absl::GetFlag(FLAGS_check) ? 0 : run(*settings);
+    return absl::GetFlag(FLAGS_check) ? 0 : run(path, *content, *settings);
 }
--- a/tests/gateway/single_test.cpp
+++ b/tests/gateway/single_test.cpp
@@ -208,4 +208,18 @@
     BOOST_TEST(state.stopped);
 }
 
+// Seeds and the limits of the site may change while the daemon runs.
+BOOST_FIXTURE_TEST_CASE(changed_settings_are_in_force_at_once, bench)
+{
+    auto changed = settings;
+    changed.budget_slack = 40;
+    changed.capacity = 500;
+    const auto seed = parse_endpoint("127.0.0.1:7009").value();
+    feed(settings_changed{std::make_shared<const options>(changed), {seed}});
+    BOOST_TEST(state.exchanges.settings.budget.slack == 20.0); // of two daemons
+    BOOST_REQUIRE_EQUAL(state.members.seeds.size(), 1U);
+    BOOST_TEST((state.members.seeds[0] == seed));
+    BOOST_TEST(membership::self_of(state.members).capacity == 500U);
+}
+
 } // namespace bulrushspring::gateway::test
