topology: A start takes a stale listing of the store and leaves the watching to readers

A stale listing costs a tenth; what it lacks comes by watching from the revision of its oldest part, or from peers. Who watches is decided as soon as the listing is there.

--- a/fakes/site/store.cpp
+++ b/fakes/site/store.cpp
@@ -61,6 +61,8 @@
 
 void store::record(change what)
 {
+    stale_items_ = items_;
+    stale_revision_ = what.revision - 1;
     if (what.removed) {
         items_.erase(what.key);
     } else {
@@ -100,7 +102,7 @@
     }
     const auto path = http::path_of(asked.target);
     if (path == "/kv-key") {
-        answer_key(token, http::query_parameter(asked.target, "key"));
+        answer_key(token, asked);
     } else if (path == "/kv-range") {
         answer_range(token, asked);
     } else if (path == "/kv-watch") {
@@ -110,15 +112,18 @@
     }
 }
 
-void store::answer_key(caller_token token, const std::string& key)
+void store::answer_key(caller_token token, const http::request& asked)
 {
-    const auto found = items_.find(key);
-    if (found == items_.end()) {
+    const bool stale = number(asked, "allowStale") != 0;
+    const auto& items = stale ? stale_items_ : items_;
+    const auto key = http::query_parameter(asked.target, "key");
+    const auto found = items.find(key);
+    if (found == items.end()) {
         server_->respond(token, {404, "", {}, ""});
         return;
     }
     auto body = item_of(key, found->second.value, found->second.revision);
-    body["storeRevision"] = revision_;
+    body["storeRevision"] = stale ? stale_revision_ : revision_;
     server_->respond(token, json_response(body));
 }
 
@@ -126,9 +131,10 @@
 {
     const auto prefix = http::query_parameter(asked.target, "prefix");
     const auto after = http::query_parameter(asked.target, "after");
+    const bool stale = number(asked, "allowStale") != 0;
     json list = json::array();
     bool more = false;
-    for (const auto& [key, item] : items_) {
+    for (const auto& [key, item] : stale ? stale_items_ : items_) {
         if (key.rfind(prefix, 0) != 0 || key <= after) {
             continue;
         }
@@ -138,9 +144,11 @@
         }
         list.push_back(item_of(key, item.value, item.revision));
     }
-    server_->respond(token, json_response({{"items", std::move(list)},
-                                           {"morePages", more},
-                                           {"storeRevision", revision_}}));
+    server_->respond(
+        token, json_response(
+                   {{"items", std::move(list)},
+                    {"morePages", more},
+                    {"storeRevision", stale ? stale_revision_ : revision_}}));
 }
 
 void store::begin_watch(caller_token token, const http::request& asked)
--- a/fakes/site/store.hpp
+++ b/fakes/site/store.hpp
@@ -43,7 +43,7 @@
     };
 
     void take(caller_token token, const http::request& asked);
-    void answer_key(caller_token token, const std::string& key);
+    void answer_key(caller_token token, const http::request& asked);
     void answer_range(caller_token token, const http::request& asked);
     void begin_watch(caller_token token, const http::request& asked);
     bool answer_watch(const watch& waiting);
@@ -54,6 +54,9 @@
     event_base* base_;
     std::unique_ptr<http::server> server_;
     std::map<std::string, change> items_;
+    // What stale reads are told: all but the newest change.
+    std::map<std::string, change> stale_items_;
+    std::uint64_t stale_revision_ = 1;
     std::deque<change> history_;
     std::list<watch> watches_;
     std::uint64_t revision_ = 1;
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -17,21 +17,28 @@
 
 constexpr milliseconds review_interval{200};
 
-// Decides what this daemon has to do with the store. One that has no routes
-// yet reads it at once, whoever else does, and so does one that hears of
-// nobody. Views of the fleet that differ only cost a reader more.
-topology::store_role store_role_of(const state& self)
-{
-    if (!self.ready || self.members.isolated ||
-        !membership::joined(self.members)) {
+// Decides what this daemon has to do with the store. One that knows nothing
+// lists it at once, whoever else reads it; one that hears of nobody for a
+// while, or learns no routes from its peers, reads it for itself. Views of the
+// fleet that differ only cost a reader more.
+topology::store_role store_role_of(const state& self, boot_time now)
+{
+    const bool knows_routes = self.topology.table != nullptr;
+    const bool patient = now - self.started < self.settings.peer_patience;
+    if ((!knows_routes && !self.topology.listed) || self.members.isolated) {
         return topology::store_role::leader;
     }
+    if (!membership::joined(self.members)) {
+        return patient ? topology::store_role::none
+                       : topology::store_role::leader;
+    }
     const configuration::peers fleet{membership::view_of(self.members).members,
                                      membership::self_of(self.members)};
     const auto review =
         configuration::review_readers(fleet, self.settings.readers);
     if (!review.reading) {
-        return topology::store_role::none;
+        return knows_routes || patient ? topology::store_role::none
+                                       : topology::store_role::leader;
     }
     return review.readers.front() == fleet.self.name
                ? topology::store_role::leader
@@ -44,7 +51,7 @@
         return;
     }
     self.review_at = now + review_interval;
-    topology::set_role(self.topology, store_role_of(self), now);
+    topology::set_role(self.topology, store_role_of(self, now), now);
 }
 
 // What is known of the fleet only grows: a daemon that is not heard of may
@@ -262,6 +269,9 @@
 void step(state& self, const topology::records_learned& event, context& context)
 {
     to_topology(self, event, context);
+    if (event.whole) {
+        self.review_at = context.now; // others may watch from here on
+    }
 }
 
 void step(state& self, const topology::store_failed& event, context& context)
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -164,6 +164,7 @@
     self.failures = 0;
     self.calling = false;
     self.listed = true;
+    self.history_lost = false;
     self.answered_at = context.now;
     self.call_at = context.now + (self.role == store_role::follower
                                       ? self.settings.follower_spacing
@@ -181,7 +182,7 @@
                                              ? self.settings.follower_wait
                                              : self.settings.leader_wait});
     } else {
-        result.calls.emplace_back(read_all{});
+        result.calls.emplace_back(read_all{!self.history_lost});
     }
 }
 
@@ -277,6 +278,7 @@
         context.emit(write_log{
             make_record(history_gone, field("revision", self.revision))});
         self.listed = false;
+        self.history_lost = true;
         self.call_at = context.now;
         return;
     }
--- a/libraries/topology/topology.hpp
+++ b/libraries/topology/topology.hpp
@@ -50,8 +50,10 @@
 };
 
 // Asks the store for all records; answered by records_learned (whole) or
-// store_failed.
+// store_failed. Stale answers may be seconds old, and cost a tenth; what they
+// lack is brought by watching from the revision that they name.
 struct read_all {
+    bool may_be_stale = false;
 };
 
 // Asks the store for what changes after the revision; answered like read_all.
@@ -110,6 +112,9 @@
     store_role role = store_role::none;
     bool calling = false;
     bool listed = false; // read whole since the history was last lost
+    // After a loss of history what is stale may be older than what can be
+    // watched.
+    bool history_lost = false;
     std::uint32_t failures = 0;
     boot_time call_at{};
     boot_time answered_at = boot_time::min();
--- a/tests/gateway/single_test.cpp
+++ b/tests/gateway/single_test.cpp
@@ -222,4 +222,54 @@
     BOOST_TEST(membership::self_of(state.members).capacity == 500U);
 }
 
+// A start lists the store, and leaves the watching to readers for a while: at
+// a cold start hundreds of daemons would watch at once.
+BOOST_AUTO_TEST_CASE(a_start_does_not_watch_before_it_looked_for_peers)
+{
+    manual_clock clock;
+    std::vector<effect> effects;
+    std::vector<bulrushspring::effect> shared;
+    std::uint64_t last = 0;
+    wire::member_record self;
+    self.name = "entry-1";
+    self.life = 1;
+    auto state = gateway::make_state(self, {}, {}, clock.now());
+    const auto feed = [&](const any_event& what) {
+        bulrushspring::context shared_context{clock.now(), shared, last};
+        gateway::context context{clock.now(), effects, shared_context};
+        gateway::reduce(state, what, context);
+    };
+    const auto calls = [&] {
+        std::size_t lists = 0;
+        std::size_t watches = 0;
+        for (const auto& each : std::exchange(effects, {})) {
+            if (const auto* call = std::get_if<call_store>(&each)) {
+                const bool all =
+                    std::holds_alternative<topology::read_all>(call->call);
+                (all ? lists : watches) += 1;
+            }
+        }
+        return std::pair(lists, watches);
+    };
+    const auto pass = [&](duration span) {
+        for (duration left = span; left > duration{0};
+             left -= milliseconds{10}) {
+            clock.advance(milliseconds{10});
+            feed(tick{});
+        }
+    };
+    feed(tick{});
+    BOOST_TEST((calls() == std::pair<std::size_t, std::size_t>(1, 0)));
+    topology::records_learned listing;
+    listing.source = "store";
+    listing.revision = 5;
+    listing.whole = true;
+    feed(listing);
+    pass(milliseconds{900});
+    BOOST_TEST((calls() == std::pair<std::size_t, std::size_t>(0, 0)));
+    // It may be alone.
+    pass(milliseconds{500});
+    BOOST_TEST((calls() == std::pair<std::size_t, std::size_t>(0, 1)));
+}
+
 } // namespace bulrushspring::gateway::test
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -1,45 +1,18 @@
+#include "fakes/site/store.hpp"
 #include "platform/store_client.hpp"
 #include "tests/http/loop.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <netinet/in.h>
 
 using namespace bulrushspring;
 
-namespace
-{
-
-// Takes connections and never answers.
-struct silent_store {
-    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    endpoint address{INADDR_LOOPBACK, 0};
-
-    silent_store()
-    {
-        sockaddr_in name{};
-        name.sin_family = AF_INET;
-        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        auto* plain = reinterpret_cast<sockaddr*>(&name);
-        socklen_t size = sizeof name;
-        BOOST_REQUIRE(bind(descriptor, plain, size) == 0);
-        BOOST_REQUIRE(listen(descriptor, 4) == 0);
-        BOOST_REQUIRE(getsockname(descriptor, plain, &size) == 0);
-        address.port = ntohs(name.sin_port);
-    }
-    silent_store(const silent_store&) = delete;
-    silent_store& operator=(const silent_store&) = delete;
-    ~silent_store() { close(descriptor); }
-};
-
-} // namespace
-
 // A store that swallowed a waiting call is found out a second after the wait.
 BOOST_AUTO_TEST_CASE(a_swallowed_call_ends_soon_after_its_wait)
 {
-    const silent_store store;
+    const http_test::raw_listener store; // never answers
     const auto base = client::make_event_base();
     std::optional<topology::store_failed> failed;
-    const auto call = platform::make_store(store.address)(
+    const auto call = platform::make_store(store.address())(
         base.get(), [&](gateway::any_event what) {
             failed = std::get<topology::store_failed>(what);
         });
@@ -51,3 +24,64 @@
     BOOST_TEST((clock.now() - began >= milliseconds{200}));
     BOOST_TEST((clock.now() - began < milliseconds{2000}));
 }
+
+namespace
+{
+
+// One listing of a stand-in store.
+topology::records_learned list(event_base* base, const endpoint& address,
+                               bool may_be_stale)
+{
+    std::optional<topology::records_learned> learned;
+    const auto call =
+        platform::make_store(address)(base, [&](gateway::any_event what) {
+            learned = std::get<topology::records_learned>(what);
+        });
+    call(topology::read_all{may_be_stale});
+    BOOST_REQUIRE(http_test::turn_until(base, [&] { return !!learned; }));
+    return *learned;
+}
+
+const std::string no_table = R"({"version":1,"routes":[],"services":[]})";
+
+} // namespace
+
+// What a stale listing lacks must come by watching from its revision.
+BOOST_AUTO_TEST_CASE(a_stale_listing_names_the_revision_of_its_oldest_part)
+{
+    const auto base = client::make_event_base();
+    const auto address = http_test::raw_listener().address();
+    site::store store(base.get(), address);
+    store.put("op/config", no_table);
+    store.put("servers/a", "{}");
+    store.put("servers/b", "{}");
+    const auto stale = list(base.get(), address, true);
+    BOOST_TEST(stale.records.size() == 2U);
+    const auto whole = list(base.get(), address, false);
+    BOOST_TEST(whole.records.size() == 3U);
+    BOOST_TEST(stale.revision + 1 == whole.revision);
+}
+
+// Routes that a stale answer lacks come by watching from its revision.
+BOOST_AUTO_TEST_CASE(routes_that_a_stale_answer_lacks_are_watched_for)
+{
+    const auto base = client::make_event_base();
+    const auto address = http_test::raw_listener().address();
+    site::store store(base.get(), address);
+    store.put("servers/a", "{}");
+    store.put("op/config", no_table);
+    std::optional<topology::records_learned> learned;
+    const auto call =
+        platform::make_store(address)(base.get(), [&](gateway::any_event what) {
+            learned = std::get<topology::records_learned>(what);
+        });
+    call(topology::read_all{true});
+    BOOST_REQUIRE(http_test::turn_until(base.get(), [&] { return !!learned; }));
+    BOOST_TEST(learned->records.size() == 1U);
+    const auto from = learned->revision;
+    learned.reset();
+    call(topology::watch_changes{from, seconds{1}});
+    BOOST_REQUIRE(http_test::turn_until(base.get(), [&] { return !!learned; }));
+    BOOST_REQUIRE_EQUAL(learned->records.size(), 1U);
+    BOOST_TEST(learned->records[0].published.key == "op/config");
+}
--- a/tests/topology/topology_test.cpp
+++ b/tests/topology/topology_test.cpp
@@ -294,3 +294,21 @@
     BOOST_TEST((wait_of(store_role::follower) > change_may_take / 3));
     BOOST_TEST((wait_of(store_role::follower) <= 2 * change_may_take));
 }
+
+// A start takes a cheap answer, that may be old, and watches from there. With
+// the history gone an old answer could not be gone on from.
+BOOST_FIXTURE_TEST_CASE(a_start_takes_a_stale_listing, fixture)
+{
+    auto made = calls();
+    BOOST_REQUIRE_EQUAL(made.size(), 1U);
+    BOOST_TEST(std::get<read_all>(made[0]).may_be_stale);
+    learn(9, true, {leaf("a", 11)}); // a page was newer than another
+    clock.advance(seconds{1});
+    made = calls();
+    BOOST_REQUIRE_EQUAL(made.size(), 1U);
+    BOOST_TEST(std::get<watch_changes>(made[0]).after == 9U);
+    feed(store_failed{error{errc::closed, "read", "store", ""}, true});
+    made = calls();
+    BOOST_REQUIRE_EQUAL(made.size(), 1U);
+    BOOST_TEST(!std::get<read_all>(made[0]).may_be_stale);
+}
