--- a/libraries/wire/serialize.hpp
+++ b/libraries/wire/serialize.hpp
@@ -171,9 +171,8 @@
 inline constexpr std::uint8_t own_caller_address = 0x04;
 inline constexpr std::uint8_t own_operators_address = 0x08;
 inline constexpr std::uint8_t overloaded_bit = 0x10;
-inline constexpr std::uint8_t known_flags = status_bits | own_caller_address |
-                                            own_operators_address |
-                                            overloaded_bit;
+inline constexpr std::uint8_t known_flags =
+    status_bits | own_caller_address | own_operators_address | overloaded_bit;
 
 inline std::uint8_t record_flags(const member_record& record)
 {
