--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/configuration/readers.hpp"
 #include "libraries/gateway/events.hpp"
+#include "libraries/gateway/placement.hpp"
 
 #include <algorithm>
 
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -1,3 +1,4 @@
+#include "libraries/gateway/placement.hpp"
 #include "tests/gateway/bench.hpp"
 
 #include <set>
