--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -2,7 +2,6 @@
 
 #include "libraries/configuration/readers.hpp"
 #include "libraries/gateway/events.hpp"
-#include "libraries/gateway/placement.hpp"
 
 #include <algorithm>
 
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -109,6 +109,10 @@
     bool young = true;
 };
 
+// This daemon's share of what the fleet divides, if the active ones take that
+// share of it among themselves.
+double share_of_fleet(const fleet_shape&, double share_of_active);
+
 struct leaf_pool {
     pool_options settings;
     random_source random;
@@ -154,6 +158,11 @@
 // has no leaf to connect to.
 bool prepared_for(const leaf_pool&, const routing::table&, boot_time now);
 
+// How many daemons the leafs of the median service have connections for, if
+// each is to reach enough of them. The median, since a service may have lost
+// leafs. Without a table it is no limit.
+std::size_t most_active(const leaf_pool&);
+
 leaf_state* find_leaf(leaf_pool&, const std::string& id);
 
 // Opens the first connections of leafs that have none, closes idle ones that
--- a/tests/gateway/entries_test.cpp
+++ b/tests/gateway/entries_test.cpp
@@ -1,6 +1,6 @@
 #include "libraries/gateway/entries.hpp"
+#include "libraries/gateway/leaf_pool.hpp"
 #include "libraries/gateway/load.hpp"
-#include "libraries/gateway/placement.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -1,4 +1,3 @@
-#include "libraries/gateway/placement.hpp"
 #include "tests/gateway/bench.hpp"
 
 #include <set>
