--- a/benchmarks/gateway.cpp
+++ b/benchmarks/gateway.cpp
@@ -89,6 +89,37 @@
         shared.clear();
     }
 
+    // Lets the daemon hear of so many others.
+    void hear(int members)
+    {
+        for (int i = 0; i < members; ++i) {
+            wire::ping ping;
+            ping.sequence = static_cast<std::uint64_t>(i) + 1;
+            ping.from.name = "other-" + std::to_string(i);
+            ping.from.data_centre = "dc-" + std::to_string(i % 3);
+            ping.from.region = "region";
+            ping.from.peer = {0x7F000001, static_cast<std::uint16_t>(i + 1)};
+            ping.from.caller = ping.from.peer;
+            ping.from.life = 1;
+            ping.from.refutation = ++refutation;
+            feed(datagram_received{ping.from.peer, ping});
+        }
+    }
+
+    // A second in which nothing is asked; connections open and rest.
+    void rest()
+    {
+        const auto until = clock.now() + seconds{1};
+        while (clock.now() < until) {
+            const duration wait = gateway::next_wakeup(state) - clock.now();
+            clock.advance(std::max<duration>(wait, milliseconds{1}));
+            feed(tick{});
+            open_all();
+        }
+    }
+
+    std::uint32_t refutation = 0;
+
     // One query, each of whose leafs answers after 10 ms.
     void query()
     {
@@ -131,4 +162,23 @@
     ->Arg(180)
     ->Unit(benchmark::kMicrosecond);
 
+// A second without requests, over the members of the fleet and the shards.
+void quiet_second(benchmark::State& run)
+{
+    daemon one(static_cast<std::size_t>(run.range(1)));
+    for (auto _ : run) {
+        run.PauseTiming();
+        one.hear(static_cast<int>(run.range(0)));
+        run.ResumeTiming();
+        one.rest();
+    }
+}
+BENCHMARK(quiet_second)
+    ->Args({30, 5})
+    ->Args({100, 19})
+    ->Args({300, 55})
+    ->Args({300, 5})
+    ->Args({30, 55})
+    ->Unit(benchmark::kMicrosecond);
+
 } // namespace
--- a/libraries/gateway/entries.cpp
+++ b/libraries/gateway/entries.cpp
@@ -1,7 +1,5 @@
 #include "libraries/gateway/entries.hpp"
 
-#include "base/hash.hpp"
-
 #include <algorithm>
 
 namespace bulrushspring::gateway
@@ -10,6 +8,7 @@
 {
 
 using wire::member_record;
+using members = std::vector<const member_record*>;
 
 double capacity_of(const members& some)
 {
@@ -34,49 +33,23 @@
     return those(from, [](const auto& each) { return !each.overloaded; });
 }
 
-// Large daemons alone, unless they are too few.
+// Large daemons alone, unless they are too few or half of them overloaded.
 members prefer_large(const entry_options& options, const members& from)
 {
     std::uint32_t largest = 0;
     for (const auto* each : from) {
         largest = std::max(largest, each->capacity);
     }
-    auto large = those(from, [&](const auto& each) {
-        return each.capacity >= options.large * largest;
+    const auto large = those(from, [&](const auto& each) {
+        return is_large(options, each, largest);
     });
     const bool enough =
         large.size() >= options.enough_large &&
-        capacity_of(large) >= options.large_share * capacity_of(from);
+        capacity_of(large) >= options.large_share * capacity_of(from) &&
+        without_overloaded(large).size() * 2 > large.size();
     return enough ? large : from;
 }
 
-// The first few by a hash of their names.
-members limit(members from, std::size_t most)
-{
-    if (from.size() <= most) {
-        return from;
-    }
-    const auto rank = [](const auto* each) {
-        return std::pair(stable_hash(each->name), std::string_view(each->name));
-    };
-    std::sort(from.begin(), from.end(),
-              [&](const auto* one, const auto* other) {
-                  return rank(one) > rank(other);
-              });
-    from.resize(most);
-    return from;
-}
-
-members pointers_to(std::span<const member_record> live)
-{
-    members all;
-    all.reserve(live.size());
-    for (const auto& each : live) {
-        all.push_back(&each);
-    }
-    return all;
-}
-
 // Overloaded daemons are left out while they are the fewer ones; else the
 // others could not take their load.
 members avoid_overloaded(const members& from)
@@ -96,23 +69,31 @@
 
 } // namespace
 
-members active_members(const entry_options& options,
-                       std::span<const member_record> live,
-                       std::size_t most_active)
+bool is_large(const entry_options& options, const member_record& record,
+              std::uint32_t largest)
+{
+    return record.capacity >= options.large * largest;
+}
+
+std::uint32_t largest_capacity(std::span<const member_record> fleet)
 {
-    return limit(prefer_large(options, pointers_to(live)), most_active);
+    std::uint32_t largest = 0;
+    for (const auto& each : fleet) {
+        largest = std::max(largest, each.capacity);
+    }
+    return largest;
 }
 
 std::vector<endpoint> choose_entries(const entry_options& options,
                                      std::span<const member_record> live,
-                                     std::size_t most_active,
                                      std::string_view data_centre,
                                      random_source& random)
 {
-    auto chosen = active_members(options, live, most_active);
-    if (without_overloaded(chosen).size() * 2 <= chosen.size()) {
-        chosen = pointers_to(live); // the others are needed too
+    members chosen;
+    for (const auto& each : live) {
+        chosen.push_back(&each);
     }
+    chosen = prefer_large(options, chosen);
     chosen = avoid_overloaded(chosen);
     chosen = prefer_near(options, chosen, data_centre);
     shuffle(std::span(chosen), random);
--- a/libraries/gateway/entries.hpp
+++ b/libraries/gateway/entries.hpp
@@ -26,21 +26,18 @@
     double large_share = 0.2;
 };
 
-using members = std::vector<const wire::member_record*>;
+// Whether a daemon is large in a fleet whose largest has that capacity. All
+// are where capacities are not told.
+bool is_large(const entry_options&, const wire::member_record&,
+              std::uint32_t largest);
 
-// The daemons that are to serve callers: large ones if there are enough, and
-// of those no more than leafs have connections for, by a hash of their names
-// so that all daemons choose alike. Where capacities are not told, and leafs
-// have connections for all, it is the whole fleet.
-members active_members(const entry_options&,
-                       std::span<const wire::member_record> live,
-                       std::size_t most_active);
+// The largest capacity in the fleet, in thousandths of a core.
+std::uint32_t largest_capacity(std::span<const wire::member_record>);
 
 // The daemons that callers of a data centre are to use, in random order:
-// active ones, not overloaded ones, near ones, each as far as enough are left.
+// large ones, not overloaded ones, near ones, each as far as enough are left.
 std::vector<endpoint> choose_entries(const entry_options&,
                                      std::span<const wire::member_record> live,
-                                     std::size_t most_active,
                                      std::string_view data_centre,
                                      random_source&);
 
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -16,8 +16,6 @@
 }
 
 constexpr milliseconds review_interval{200};
-// How often the fleet is measured if no member comes or goes: leafs do.
-constexpr seconds measure_interval{1};
 
 // Decides what this daemon has to do with the store. One that knows nothing
 // lists it at once, whoever else reads it; one that hears of nobody for a
@@ -56,9 +54,8 @@
     topology::set_role(self.topology, store_role_of(self, now), now);
 }
 
-// What is known of the fleet grows at once and shrinks late or never: a daemon
-// that is not heard of may still hold connections and spend its share of the
-// budget.
+// What is known of the fleet only grows: a daemon that is not heard of may
+// still hold connections and spend its share of the budget.
 void measure_fleet(state& self, boot_time now)
 {
     const auto& view = membership::view_of(self.members);
@@ -66,34 +63,28 @@
     fleet.known = membership::joined(self.members) ||
                   now - self.started >= self.settings.peer_patience;
     fleet.young = now - self.started < self.settings.youth;
-    if (view.generation == self.fleet_measured && now < self.measure_at) {
+    if (view.generation == self.fleet_measured) {
         return;
     }
     self.fleet_measured = view.generation;
-    self.measure_at = now + measure_interval;
     const auto& live = view.members;
-    const auto near =
-        std::count_if(live.begin(), live.end(), [&](const auto& member) {
-            return member.data_centre == self.pool.data_centre;
-        });
-    self.most_active = most_active(self.pool);
-    const auto active =
-        active_members(self.settings.entries, live, self.most_active);
-    const auto& own = membership::self_of(self.members).name;
-    fleet.size = std::max(fleet.size, live.size());
-    fleet.near = std::max(fleet.near, static_cast<std::size_t>(near));
-    if (active.size() >= fleet.active ||
-        now - self.active_seen_at > self.settings.active_memory) {
-        fleet.active = std::max<std::size_t>(active.size(), 1);
-        self.active_seen_at = now;
+    fleet.largest = std::max(fleet.largest, largest_capacity(live));
+    std::size_t near = 0;
+    std::size_t large = 0;
+    for (const auto& member : live) {
+        near += member.data_centre == self.pool.data_centre ? 1 : 0;
+        large += is_large(self.settings.entries, member, fleet.largest) ? 1 : 0;
     }
-    fleet.self_active =
-        std::any_of(active.begin(), active.end(),
-                    [&](const auto* each) { return each->name == own; });
+    fleet.size = std::max(fleet.size, live.size());
+    fleet.near = std::max(fleet.near, near);
+    fleet.large = std::max(fleet.large, large);
+    fleet.self_large =
+        is_large(self.settings.entries, membership::self_of(self.members),
+                 fleet.largest);
 }
 
 // Each daemon takes its share of what the site may send beyond the first
-// requests; active ones share the greater part, for they serve the callers.
+// requests; large ones share the greater part, for they serve the callers.
 // One that does not know its fleet yet takes none, and one that has just
 // started takes less: its former life may have spent some already.
 void set_budget(state& self, boot_time now)
@@ -108,7 +99,7 @@
     limits.slack =
         self.settings.budget_slack * self.settings.budget_share *
         std::min(age, 1.0) *
-        share_of_fleet(self.pool.fleet, self.settings.slack_of_active);
+        share_of_fleet(self.pool.fleet, self.settings.slack_of_large);
 }
 
 void put_in_force(state& self, context& context)
@@ -268,10 +259,10 @@
 
 void step(state& self, const entries_asked& event, context& context)
 {
-    auto entries =
-        choose_entries(self.settings.entries, entry_candidates(self),
-                       self.most_active, event.data_centre, self.random);
-    context.emit(answer_entries{event.token, std::move(entries),
+    context.emit(answer_entries{event.token,
+                                choose_entries(self.settings.entries,
+                                               entry_candidates(self),
+                                               event.data_centre, self.random),
                                 self.settings.entries_hold});
 }
 
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -6,7 +6,6 @@
 #include "libraries/gateway/load.hpp"
 #include "libraries/membership/membership.hpp"
 
-#include <limits>
 #include <optional>
 
 // The join of the gateway's reducers: one daemon's decisions on the requests
@@ -29,11 +28,8 @@
     // Share of that limit that the fleet uses, for views that differ and
     // clocks of windows that don't agree.
     double budget_share = 0.95;
-    // Share of the slack that is for active daemons where not all are.
-    double slack_of_active = 0.8;
-    // While large daemons are away, others are active too. They are counted
-    // with for longer than the budget's window.
-    duration active_memory = seconds{15};
+    // Share of the slack that is for large daemons where not all are.
+    double slack_of_large = 0.8;
     // How long callers may keep the list of daemons.
     duration entries_hold = seconds{1};
     // Some callers keep it this many times as long.
@@ -66,11 +62,7 @@
     load_state load;
     random_source random;
     std::uint64_t fleet_measured = 0; // generation of the view
-    boot_time measure_at{};
-    boot_time active_seen_at{}; // as many active daemons as are counted with
-    // Daemons that leafs have connections for.
-    std::size_t most_active = std::numeric_limits<std::size_t>::max();
-    routing::table_pointer table; // in force
+    routing::table_pointer table;     // in force
     // Accepted, and in force as soon as its services can be reached.
     routing::table_pointer coming;
     boot_time coming_by{};
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -5,7 +5,6 @@
 #include "libraries/gateway/leaf_evidence.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 namespace bulrushspring::gateway
@@ -90,20 +89,19 @@
 {
     const auto& settings = pool.settings;
     const auto& fleet = pool.fleet;
-    const auto active = static_cast<double>(fleet.active);
-    const auto others = static_cast<double>(fleet.size) - active;
+    const auto large = static_cast<double>(fleet.large);
+    const auto others = static_cast<double>(fleet.size) - large;
     if (others <= 0) {
-        return std::min<double>(usable_limit / active,
+        return std::min<double>(usable_limit / large,
                                 settings.most_connections);
     }
-    const double of_active =
-        std::min<double>(usable_limit * settings.connections_of_active / active,
-                         settings.most_connections_of_active);
-    if (fleet.self_active) {
-        return of_active;
-    }
-    return std::min<double>((usable_limit - of_active * active) / others,
-                            settings.most_connections);
+    const double of_large =
+        std::min<double>(usable_limit * settings.connections_of_large / large,
+                         settings.most_connections_of_large);
+    return fleet.self_large
+               ? of_large
+               : std::min<double>((usable_limit - of_large * large) / others,
+                                  settings.most_connections);
 }
 
 // How many connections this daemon may hold to a leaf, so that the fleet
@@ -132,9 +130,7 @@
                 placed_before(pool, other, leaf, usable_limit, now) ? 1 : 0;
         }
     }
-    constexpr double rounding = 1e-6;
-    const auto chosen =
-        std::max(static_cast<std::uint32_t>(each * leafs + rounding), 1U);
+    const auto chosen = std::max(static_cast<std::uint32_t>(each * leafs), 1U);
     constexpr std::uint32_t chosen_by_young = 2; // one, and one to overtake it
     return before < (pool.fleet.young ? std::min(chosen, chosen_by_young)
                                       : chosen)
@@ -142,19 +138,6 @@
                : 0;
 }
 
-// Whether connections are opened ahead of requests. A daemon that serves no
-// callers leaves them to those that do, where there are not enough for all.
-bool opens_ahead(const leaf_pool& pool, const leaf_state& leaf)
-{
-    if (pool.fleet.self_active) {
-        return true;
-    }
-    const double each = connections_each(
-        pool, connection_limit(pool, leaf) * pool.settings.connection_share);
-    const auto leafs = pool.by_service.at(leaf.published.service).size();
-    return each * static_cast<double>(leafs) >= 1.0;
-}
-
 double cost_of(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
 {
     double cost =
@@ -242,7 +225,7 @@
     }
     if (pool.fleet.known && leaf.connections == 0 && leaf.listed &&
         context.now >= leaf.open_after && context.now >= leaf.warm_after &&
-        pool.opening < pool.settings.most_opening && opens_ahead(pool, leaf) &&
+        pool.opening < pool.settings.most_opening &&
         connection_share(pool, leaf, context.now) > 0) {
         open(pool, leaf, std::nullopt, context);
     }
@@ -265,15 +248,15 @@
 
 } // namespace
 
-double share_of_fleet(const fleet_shape& fleet, double share_of_active)
+double share_of_fleet(const fleet_shape& fleet, double share_of_large)
 {
-    const auto active = static_cast<double>(fleet.active);
-    const auto others = static_cast<double>(fleet.size) - active;
+    const auto large = static_cast<double>(fleet.large);
+    const auto others = static_cast<double>(fleet.size) - large;
     if (others <= 0) {
-        return 1.0 / active;
+        return 1.0 / large;
     }
-    return fleet.self_active ? share_of_active / active
-                             : (1.0 - share_of_active) / others;
+    return fleet.self_large ? share_of_large / large
+                            : (1.0 - share_of_large) / others;
 }
 
 void apply(leaf_pool& pool, const topology::leaf_changed& change,
@@ -463,29 +446,6 @@
         });
 }
 
-std::size_t most_active(const leaf_pool& pool)
-{
-    const auto& settings = pool.settings;
-    std::vector<double> carried;
-    for (const auto& [service, leafs] : pool.by_service) {
-        const double limit =
-            leafs.empty() ? 0 : connection_limit(pool, pool.leafs.at(leafs[0]));
-        const auto count = static_cast<double>(leafs.size());
-        const double wanted = std::min<double>(count, settings.leafs_of_active);
-        if (limit > 0) {
-            carried.push_back(limit * settings.connection_share *
-                              settings.connections_of_active * count / wanted);
-        }
-    }
-    if (carried.empty()) {
-        return std::numeric_limits<std::size_t>::max();
-    }
-    const auto middle =
-        carried.begin() + static_cast<std::ptrdiff_t>(carried.size() / 2);
-    std::nth_element(carried.begin(), middle, carried.end());
-    return static_cast<std::size_t>(*middle);
-}
-
 leaf_state* find_leaf(leaf_pool& pool, const std::string& id)
 {
     const auto found = pool.leafs.find(id);
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -29,14 +29,11 @@
     duration open_timeout = milliseconds{250};
     // What one daemon holds at most to a leaf, whatever its limit.
     std::uint32_t most_connections = 4;
-    // Share of the fleet's connections that active daemons take where not all
+    // Share of the fleet's connections that large daemons take where not all
     // are, and what one of them holds at most to a leaf. They serve callers
     // while they live; the others need some to be ready.
-    double connections_of_active = 0.8;
-    std::uint32_t most_connections_of_active = 2;
-    // A daemon that serves callers has connections to so many leafs of each
-    // service, so that there is a second one to ask.
-    std::uint32_t leafs_of_active = 2;
+    double connections_of_large = 0.25;
+    std::uint32_t most_connections_of_large = 2;
     // Share of a leaf's connection limit that the fleet uses, so that views
     // that differ and connections that linger at the leaf fit too.
     double connection_share = 0.85;
@@ -99,19 +96,20 @@
 
 // What is known of the daemons that share the leafs.
 struct fleet_shape {
-    std::size_t size = 1;   // most daemons ever seen
-    std::size_t near = 1;   // of those, in this daemon's data centre
-    std::size_t active = 1; // of those, the most that served callers
-    bool self_active = true;
+    std::size_t size = 1;      // most daemons ever seen
+    std::size_t near = 1;      // of those, in this daemon's data centre
+    std::size_t large = 1;     // of those, with the largest VMs
+    std::uint32_t largest = 0; // capacity ever seen
+    bool self_large = true;
     bool known = false; // until then no connection is opened ahead
     // A young daemon has not heard of all others yet, and keeps to what any
     // daemon may have.
     bool young = true;
 };
 
-// This daemon's share of what the fleet divides, if the active ones take that
+// This daemon's share of what the fleet divides, if the large ones take that
 // share of it among themselves.
-double share_of_fleet(const fleet_shape&, double share_of_active);
+double share_of_fleet(const fleet_shape&, double share_of_large);
 
 struct leaf_pool {
     pool_options settings;
@@ -158,11 +156,6 @@
 // has no leaf to connect to.
 bool prepared_for(const leaf_pool&, const routing::table&, boot_time now);
 
-// How many daemons the leafs of the median service have connections for, if
-// each is to reach enough of them. The median, since a service may have lost
-// leafs. Without a table it is no limit.
-std::size_t most_active(const leaf_pool&);
-
 leaf_state* find_leaf(leaf_pool&, const std::string& id);
 
 // Opens the first connections of leafs that have none, closes idle ones that
--- a/tests/gateway/entries_test.cpp
+++ b/tests/gateway/entries_test.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
 #include <set>
 
 namespace bulrushspring::gateway::test
@@ -34,12 +33,11 @@
         }
     }
 
-    std::set<std::size_t> chosen(const std::string& data_centre = "dc-1",
-                                 std::size_t most_active = 1000)
+    std::set<std::size_t> chosen(const std::string& data_centre = "dc-1")
     {
         std::set<std::size_t> numbers;
         for (const auto& each :
-             choose_entries({}, members, most_active, data_centre, random)) {
+             choose_entries({}, members, data_centre, random)) {
             numbers.insert(each.port);
         }
         return numbers;
@@ -111,25 +109,6 @@
     BOOST_TEST(all.chosen("dc-2").size() == 12U);
 }
 
-// More daemons than leafs have connections for: the same few for all callers.
-BOOST_AUTO_TEST_CASE(no_more_daemons_serve_than_leafs_have_connections_for)
-{
-    fleet all;
-    all.add(300, 170, "dc-1");
-    const auto first = all.chosen("dc-1", 50);
-    BOOST_TEST(first.size() == 50U);
-    std::reverse(all.members.begin(), all.members.end());
-    BOOST_TEST(all.chosen("dc-1", 50) == first);
-    // One that is lost is replaced, the others stay.
-    std::erase_if(all.members, [&](const auto& member) {
-        return member.caller.port == *first.begin();
-    });
-    auto kept = all.chosen("dc-1", 50);
-    BOOST_TEST(kept.size() == 50U);
-    std::erase_if(kept, [&](auto each) { return first.count(each) > 0; });
-    BOOST_TEST(kept.size() == 1U);
-}
-
 BOOST_AUTO_TEST_CASE(timers_that_fire_late_tell_of_an_overload)
 {
     load_state load;
@@ -155,18 +134,18 @@
     BOOST_TEST(!load.overloaded);
 }
 
-BOOST_AUTO_TEST_CASE(active_daemons_take_the_greater_part_of_the_budget)
+BOOST_AUTO_TEST_CASE(large_daemons_take_the_greater_part_of_the_budget)
 {
     fleet_shape fleet;
     fleet.size = 118;
-    fleet.active = 8;
+    fleet.large = 8;
     BOOST_TEST(share_of_fleet(fleet, 0.8) == 0.1,
                boost::test_tools::tolerance(1e-9));
-    fleet.self_active = false;
+    fleet.self_large = false;
     BOOST_TEST(share_of_fleet(fleet, 0.8) == 0.2 / 110,
                boost::test_tools::tolerance(1e-9));
-    fleet.active = 118;
-    fleet.self_active = true;
+    fleet.large = 118;
+    fleet.self_large = true;
     BOOST_TEST(share_of_fleet(fleet, 0.8) == 1.0 / 118,
                boost::test_tools::tolerance(1e-9));
 }
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -13,8 +13,7 @@
 // The leafs of one service that a daemon of a large fleet connects to.
 std::set<std::string> chosen_by(const std::string& name,
                                 const std::string& data_centre,
-                                std::size_t fleet, std::size_t near,
-                                std::size_t active = 0, bool self_active = true)
+                                std::size_t fleet, std::size_t near)
 {
     std::vector<effect> effects;
     std::vector<bulrushspring::effect> shared;
@@ -25,8 +24,7 @@
     pool.data_centre = data_centre;
     pool.fleet.size = fleet;
     pool.fleet.near = near;
-    pool.fleet.active = active == 0 ? fleet : active;
-    pool.fleet.self_active = self_active;
+    pool.fleet.large = fleet;
     pool.fleet.known = true;
     pool.fleet.young = false;
     auto table = std::make_shared<routing::table>();
@@ -95,51 +93,4 @@
     BOOST_TEST(on_near <= connection_limit);
 }
 
-// More daemons than connections: those that serve callers have two leafs each,
-// and the others leave the connections to them.
-BOOST_AUTO_TEST_CASE(connections_go_to_daemons_that_serve_callers)
-{
-    constexpr std::size_t fleet = 300;
-    constexpr std::size_t active = 108; // 0.8 * 0.85 * 106 * 3 / 2
-    std::map<std::string, std::uint32_t> connections;
-    for (std::size_t i = 0; i < active; ++i) {
-        const auto chosen = chosen_by("entry-" + std::to_string(i), "dc-0",
-                                      fleet, fleet / 3, active);
-        BOOST_TEST(chosen.size() == 2U);
-        for (const auto& leaf : chosen) {
-            ++connections[leaf];
-        }
-    }
-    for (const auto& [leaf, count] : connections) {
-        BOOST_TEST(count <= connection_limit * 0.85, leaf << " has " << count);
-    }
-    BOOST_TEST(chosen_by("entry-200", "dc-0", fleet, fleet / 3, active, false)
-                   .empty());
-}
-
-BOOST_AUTO_TEST_CASE(the_median_service_says_how_many_daemons_may_serve)
-{
-    leaf_pool pool;
-    BOOST_TEST(most_active(pool) > 100000U); // no table, no limit
-    auto table = std::make_shared<routing::table>();
-    std::vector<effect> effects;
-    std::vector<bulrushspring::effect> shared;
-    std::uint64_t last = 0;
-    bulrushspring::context shared_context{boot_time{seconds{1}}, shared, last};
-    gateway::context context{shared_context.now, effects, shared_context};
-    for (const std::string service : {"a", "b", "c"}) {
-        table->services[service] = {service, "/health", connection_limit};
-        // One service has lost two of its leafs.
-        const int count = service == "a" ? 1 : 3;
-        for (int i = 0; i < count; ++i) {
-            apply(pool,
-                  topology::leaf_changed{
-                      bench::leaf(service + std::to_string(i), service)},
-                  context);
-        }
-    }
-    pool.table = table;
-    BOOST_TEST(most_active(pool) == 108U);
-}
-
 } // namespace bulrushspring::gateway::test
--- a/tests/gateway/single_test.cpp
+++ b/tests/gateway/single_test.cpp
@@ -272,32 +272,4 @@
     BOOST_TEST((calls() == std::pair<std::size_t, std::size_t>(0, 1)));
 }
 
-// What a daemon that is lost may have spent counts for longer than a window;
-// then its share is free for others.
-BOOST_FIXTURE_TEST_CASE(shares_grow_back_after_active_daemons_are_fewer, bench)
-{
-    const auto slack = [&] { return state.exchanges.settings.budget.slack; };
-    BOOST_TEST(slack() == 100.0); // of two
-    for (int i = 0; i < 8; ++i) {
-        wire::ping ping;
-        ping.sequence = ++last_sequence;
-        ping.from.name = "other-" + std::to_string(i);
-        ping.from.data_centre = "kl-1";
-        ping.from.region = "kl";
-        ping.from.peer = parse_endpoint("127.0.0.2:7004").value();
-        ping.from.peer.port = static_cast<std::uint16_t>(7100 + i);
-        ping.from.caller = ping.from.peer;
-        ping.from.life = 1;
-        feed(datagram_received{ping.from.peer, ping});
-    }
-    pass(seconds{1}, milliseconds{50});
-    const auto near = boost::test_tools::tolerance(1e-9);
-    BOOST_TEST(slack() == 20.0, near); // of ten
-    // They are gone before long, and are counted with for a while.
-    pass(seconds{10}, milliseconds{50});
-    BOOST_TEST(slack() == 20.0, near);
-    pass(seconds{40}, milliseconds{50});
-    BOOST_TEST(slack() == 80.0, near); // of two that serve
-}
-
 } // namespace bulrushspring::gateway::test
