--- a/services/bulrushspring_platformd.cpp
+++ b/services/bulrushspring_platformd.cpp
@@ -60,9 +60,18 @@
     static_cast<gateway_shell::runner*>(which)->stop();
 }
 
+// What a signal to read the settings again concerns.
+struct reload_target {
+    gateway_shell::settings_file& file;
+    gateway_shell::runner& daemon;
+};
+
 void reload_on_signal(evutil_socket_t /*signal*/, short /*what*/, void* which)
 {
-    static_cast<gateway_shell::settings_file*>(which)->look();
+    const auto& target = *static_cast<reload_target*>(which);
+    if (!target.file.look()) {
+        target.daemon.note_settings("kept", "nothing new in the file");
+    }
 }
 
 shell::event_handle watch_signal(event_base* base, int number,
@@ -120,11 +129,13 @@
     std::signal(SIGPIPE, SIG_IGN);
     auto& running = *daemon.value();
     auto file = watch_file(running, path, content);
+    reload_target reloaded{file, running};
     auto* base = running.base();
     const auto terminate =
         watch_signal(base, SIGTERM, stop_on_signal, &running);
     const auto interrupt = watch_signal(base, SIGINT, stop_on_signal, &running);
-    const auto hang_up = watch_signal(base, SIGHUP, reload_on_signal, &file);
+    const auto hang_up =
+        watch_signal(base, SIGHUP, reload_on_signal, &reloaded);
     running.run();
     return 0;
 }
