topology: Follow a store that comes back from an older copy

Cause: records were ordered by the store's revision alone. After a return from a copy, revisions go back and are given out again, so a daemon kept lost records for ever and ignored the new ones; a watch may even be answered 200.

Change: revisions are ordered by (era, revision), packed into one number, so that records, digests and fetches between daemons need no new message. The era of every answer is compared, of errors too. For 5 s after the first listing of an era, leafs that the copy lacks are kept and leafs that had left are not used on its word. The table in use is passed on under the copy's revision, so that a daemon that starts then learns it from its peers. The store's stand-in and the soak play the return.

Ruled out: an era as a field of the messages (older daemons refuse them); forgetting all records (drops leafs that are alive, uses those that left).

--- a/fakes/site/site.cpp
+++ b/fakes/site/site.cpp
@@ -102,7 +102,8 @@
         created.link = std::make_unique<proxy>(base_, link, server);
         auto item = json::parse(created.server->published(false));
         item["address"] = to_string(link);
-        platform_store.put("servers/" + settings.id, item.dump());
+        created.published = item.dump();
+        platform_store.put("servers/" + settings.id, created.published);
         leafs.push_back(std::move(created));
     }
 }
@@ -143,12 +144,29 @@
                          {"headerTimeoutMs", 3000},
                          {"idleTimeoutMs", 15000}};
     shard_sets_.emplace_back(shards_.begin(), shards_.end());
-    platform_store.put(std::string(platform::names::table_key),
-                       json{{"version", version_},
-                            {"routes", routes},
-                            {"services", services},
-                            {"limits", limits}}
-                           .dump());
+    table_ = json{
+        {"version", version_},
+        {"routes", routes},
+        {"services", services},
+        {"limits",
+         limits}}.dump();
+    platform_store.put(std::string(platform::names::table_key), table_);
+}
+
+void installation::write_again(const std::vector<std::string>& keys)
+{
+    for (const auto& key : keys) {
+        if (key == platform::names::table_key) {
+            platform_store.put(key, table_);
+            continue;
+        }
+        for (const auto& each : leafs) {
+            if (key == std::string(platform::names::leaf_prefix) +
+                           each.server->options().id) {
+                platform_store.put(key, each.published);
+            }
+        }
+    }
 }
 
 void installation::reshard()
--- a/fakes/site/site.hpp
+++ b/fakes/site/site.hpp
@@ -38,6 +38,7 @@
 struct placed_leaf {
     std::unique_ptr<leaf> server;
     std::unique_ptr<proxy> link;
+    std::string published; // its record's content
     bool listed = true;
 };
 
@@ -65,6 +66,8 @@
     bool reap();
     // Replaces all shards by the same number of new ones and publishes that.
     void reshard();
+    // Publishes the newest content of the records of these keys again.
+    void write_again(const std::vector<std::string>& keys);
 
     endpoint callers_address(const daemon& node) const;
     endpoint directory_address(const daemon& node) const;
@@ -94,6 +97,7 @@
     std::vector<std::string> shards_;
     std::vector<std::set<std::string>> shard_sets_;
     std::uint64_t version_ = 0;
+    std::string table_; // the newest published
     std::uint32_t leaf_count_ = 0;
 };
 
--- a/fakes/site/soak.cpp
+++ b/fakes/site/soak.cpp
@@ -200,11 +200,32 @@
                  [&link] { link.set_condition(link_condition::normal); });
     }
 
+    // The store comes back without what was written in the last seconds. The
+    // operator and the leafs write it again soon after.
+    void return_store_from_copy()
+    {
+        const auto lost = site.platform_store.come_back();
+        log_fault("the store lost " + std::to_string(lost.size()) + " records");
+        schedule(random_duration(milliseconds{200}, milliseconds{1500}),
+                 [this, lost] { site.write_again(lost); });
+    }
+
+    // Copies the store's content every few seconds.
+    void save_copies()
+    {
+        site.platform_store.save_copy();
+        schedule(seconds{3}, [this] { save_copies(); });
+    }
+
     // Kind 0 discards the change history, 1 makes the store refuse requests, 2
-    // makes it leave them unanswered.
+    // makes it leave them unanswered, 3 makes it lose its newest changes.
     void inject_store_fault()
     {
-        const auto kind = random_index(3);
+        const auto kind = random_index(4);
+        if (kind == 3) {
+            return_store_from_copy();
+            return;
+        }
         log_fault("fault at the store, kind " + std::to_string(kind));
         if (kind == 0) {
             site.platform_store.drop_history();
@@ -289,6 +310,7 @@
             mark_disturbed(each);
             site.start(each);
         }
+        save_copies();
         run_for(warm_up);
         const boot_time end = clock.now() + options.fault_duration;
         while (clock.now() < end) {
--- a/fakes/site/store.cpp
+++ b/fakes/site/store.cpp
@@ -1,5 +1,7 @@
 #include "fakes/site/store.hpp"
 
+#include "platform/names.hpp"
+
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
 
@@ -86,12 +88,49 @@
     condition_ = condition;
     if (condition == store_condition::refusing) {
         for (const auto& each : watches_) {
-            server_->respond(each.token, {503, "", {}, ""});
+            respond(each.token, {503, "", {}, ""});
         }
         watches_.clear();
     }
 }
 
+// Sends an answer with the era that all answers carry.
+void store::respond(caller_token token, http::response answer)
+{
+    if (!era_header_.empty()) {
+        answer.headers.push_back(
+            {std::string(platform::names::store_era), era_header_});
+    }
+    server_->respond(token, answer);
+}
+
+void store::save_copy()
+{
+    copied_items_ = items_;
+    copied_revision_ = revision_;
+}
+
+std::vector<std::string> store::come_back()
+{
+    std::vector<std::string> lost;
+    for (const auto& [key, item] : items_) {
+        const auto found = copied_items_.find(key);
+        if (found == copied_items_.end() ||
+            found->second.revision != item.revision) {
+            lost.push_back(key);
+        }
+    }
+    items_ = copied_items_;
+    stale_items_ = copied_items_;
+    revision_ = copied_revision_;
+    stale_revision_ = copied_revision_;
+    history_.clear();
+    history_from_ = revision_;
+    era_header_ = std::to_string(++era_);
+    answer_watches();
+    return lost;
+}
+
 void store::handle_request(caller_token token, const http::request& request)
 {
     ++calls_;
@@ -99,7 +138,7 @@
         return;
     }
     if (condition_ == store_condition::refusing) {
-        server_->respond(token, {503, "", {}, ""});
+        respond(token, {503, "", {}, ""});
         return;
     }
     const auto path = http::path_of(request.target);
@@ -110,7 +149,7 @@
     } else if (path == "/kv-watch") {
         start_watch(token, request);
     } else {
-        server_->respond(token, {404, "", {}, ""});
+        respond(token, {404, "", {}, ""});
     }
 }
 
@@ -121,12 +160,12 @@
     const auto key = http::query_parameter(request.target, "key");
     const auto found = items.find(key);
     if (found == items.end()) {
-        server_->respond(token, {404, "", {}, ""});
+        respond(token, {404, "", {}, ""});
         return;
     }
     auto body = item_of(key, found->second.value, found->second.revision);
     body["storeRevision"] = stale ? stale_revision_ : revision_;
-    server_->respond(token, json_response(body));
+    respond(token, json_response(body));
 }
 
 void store::answer_range(caller_token token, const http::request& request)
@@ -146,11 +185,10 @@
         }
         list.push_back(item_of(key, item.value, item.revision));
     }
-    server_->respond(
-        token, json_response(
-                   {{"items", std::move(list)},
-                    {"morePages", more},
-                    {"storeRevision", stale ? stale_revision_ : revision_}}));
+    respond(token, json_response({{"items", std::move(list)},
+                                  {"morePages", more},
+                                  {"storeRevision",
+                                   stale ? stale_revision_ : revision_}}));
 }
 
 void store::start_watch(caller_token token, const http::request& request)
@@ -171,8 +209,8 @@
 // Returns false, and sends nothing, while no change matches the watch.
 bool store::answer_watch(const watch& waiting)
 {
-    if (waiting.after < history_from_) {
-        server_->respond(waiting.token, {410, "", {}, ""});
+    if (waiting.after < history_from_ || waiting.after > revision_) {
+        respond(waiting.token, {410, "", {}, ""});
         return true;
     }
     json events = json::array();
@@ -190,9 +228,8 @@
     if (events.empty()) {
         return false;
     }
-    server_->respond(waiting.token,
-                     json_response({{"events", std::move(events)},
-                                    {"storeRevision", revision_}}));
+    respond(waiting.token, json_response({{"events", std::move(events)},
+                                          {"storeRevision", revision_}}));
     return true;
 }
 
@@ -209,9 +246,9 @@
 {
     const auto& waiting = *static_cast<watch*>(argument);
     auto& self = *waiting.owner;
-    self.server_->respond(waiting.token,
-                          json_response({{"events", json::array()},
-                                         {"storeRevision", self.revision_}}));
+    self.respond(waiting.token,
+                 json_response({{"events", json::array()},
+                                {"storeRevision", self.revision_}}));
     self.watches_.remove_if(
         [&](const auto& each) { return &each == &waiting; });
 }
--- a/fakes/site/store.hpp
+++ b/fakes/site/store.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <vector>
 
 // Test doubles for the store and leafs of an installation. They run in the
 // event loop of the program that uses them.
@@ -27,6 +28,13 @@
     // answered 410.
     void drop_history();
     void set_condition(store_condition condition);
+    // Copies the present content.
+    void save_copy();
+    // Comes back with the content of the copy, in the next era. Returns the
+    // keys whose present content is lost.
+    std::vector<std::string> come_back();
+    // Sets the value of the Store-Era header, which is usually the era.
+    void set_era_header(std::string value) { era_header_ = std::move(value); }
     // The number of requests received.
     std::size_t calls() const { return calls_; }
 
@@ -51,6 +59,7 @@
     void start_watch(caller_token token, const http::request& request);
     bool answer_watch(const watch& waiting);
     void answer_watches();
+    void respond(caller_token token, http::response answer);
     void apply_change(change applied);
     static void on_watch_timeout(evutil_socket_t socket, short events,
                                  void* argument);
@@ -65,6 +74,10 @@
     std::list<watch> watches_;
     std::uint64_t revision_ = 1;
     std::uint64_t history_from_ = 0;
+    std::map<std::string, change> copied_items_;
+    std::uint64_t copied_revision_ = 1;
+    std::uint64_t era_ = 1;
+    std::string era_header_ = "1"; // none is sent if empty
     store_condition condition_ = store_condition::normal;
     std::size_t calls_ = 0;
 };
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -37,6 +37,10 @@
                                      membership::self_of(self.members)};
     const auto review =
         configuration::select_readers(fleet, self.settings.readers);
+    if (!review.reading && knows_routes &&
+        !topology::peers_follow_era(self.topology, now)) {
+        return topology::store_role::follower;
+    }
     if (!review.reading) {
         return knows_routes || awaiting_peers ? topology::store_role::none
                                               : topology::store_role::leader;
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -32,31 +32,68 @@
     return leaf.draining ? "draining" : "ready";
 }
 
-void remove_leaf(state& self, const std::string& key,
-                 const wire::published_record& published,
-                 const std::string& source, outcome& result, context& context)
+// Whether the event reports a change that was made in the store's present era.
+// A listing may contain what the copy held when the era began.
+bool is_new_write(const records_learned& event)
 {
-    const auto found = self.leaf_keys.find(key);
-    if (found == self.leaf_keys.end()) {
+    return event.source == "store" && !event.complete;
+}
+
+void remove_leaf(state& self, const std::string& key, std::uint64_t revision,
+                 std::string_view source, outcome& result, context& context)
+{
+    self.distrusted.erase(key);
+    const auto found = self.leafs.find(key);
+    if (found == self.leafs.end()) {
         return;
     }
-    context.emit(write_log{make_record(
-        leaf_removed, field("leaf", found->second),
-        field("revision", published.revision), field("source", source))});
-    result.changes.emplace_back(leaf_gone{found->second});
-    self.leaf_keys.erase(found);
+    const auto& leaf = found->second;
+    context.emit(write_log{make_record(leaf_removed, field("leaf", leaf.id),
+                                       field("revision", revision),
+                                       field("source", source))});
+    self.departed[key] = {leaf.incarnation, context.now};
+    result.changes.emplace_back(leaf_gone{leaf.id});
+    self.leafs.erase(found);
+}
+
+// Whether the record is the copy's word about a leaf that had departed before
+// the store came back. An incarnation never returns from draining. One that was
+// removed may return if it was alive after all, and then writes itself again.
+bool is_outdated(const state& self, const std::string& key,
+                 const routing::leaf& leaf, bool new_write)
+{
+    const auto found = self.departed.find(key);
+    return self.distrust_until && !leaf.draining &&
+           found != self.departed.end() &&
+           found->second.incarnation == leaf.incarnation &&
+           (!new_write || self.leafs.count(key) > 0);
 }
 
 void update_leaf(state& self, const wire::published_record& published,
-                 const routing::leaf& leaf, const std::string& source,
+                 const routing::leaf& leaf, const records_learned& event,
                  outcome& result, context& context)
 {
+    const auto& key = published.key;
+    if (is_outdated(self, key, leaf, is_new_write(event))) {
+        context.emit(write_log{make_record(
+            leaf_distrusted, field("leaf", leaf.id), field("era", self.era),
+            field("revision", store_revision_of(published.revision)),
+            field("source", event.source))});
+        self.distrusted[key] = leaf;
+        return;
+    }
     context.emit(write_log{make_record(
         leaf_listed, field("leaf", leaf.id), field("service", leaf.service),
         field("address", to_string(leaf.address)),
         field("state", state_text(leaf)), field("revision", published.revision),
-        field("source", source))});
-    self.leaf_keys[published.key] = leaf.id;
+        field("source", event.source))});
+    self.distrusted.erase(key);
+    if (leaf.draining) {
+        self.departed[key] = {leaf.incarnation, context.now};
+    } else {
+        self.departed.erase(key);
+    }
+    self.leafs[key] = leaf;
     result.changes.emplace_back(leaf_changed{leaf});
 }
 
@@ -72,6 +109,7 @@
         return;
     }
     self.table = table;
+    self.table_key = published.key;
     context.emit(write_log{make_record(
         table_accepted, field("version", table->version),
         field("routes", table->routes.size()),
@@ -81,42 +119,83 @@
 }
 
 void apply_content(state& self, const learned_record& learned,
-                   const std::string& source, outcome& result, context& context)
+                   const records_learned& event, outcome& result,
+                   context& context)
 {
     const auto& published = learned.published;
     if (const auto* leaf = std::get_if<routing::leaf>(&learned.content)) {
-        update_leaf(self, published, *leaf, source, result, context);
+        update_leaf(self, published, *leaf, event, result, context);
     } else if (const auto* table =
                    std::get_if<routing::table_pointer>(&learned.content)) {
-        update_table(self, published, *table, source, result, context);
+        update_table(self, published, *table, event.source, result, context);
     } else {
         context.emit(write_log{make_record(
             record_unreadable, field("key", published.key),
-            field("revision", published.revision), field("source", source),
+            field("revision", published.revision),
+            field("source", event.source),
             field("reason", std::get<unreadable>(learned.content).reason))});
-        remove_leaf(self, published.key, published, source, result, context);
+        remove_leaf(self, published.key, published.revision, event.source,
+                    result, context);
+    }
+}
+
+// Whether the record is that of the routing table and holds none that is newer
+// than the one in use.
+bool keeps_table(const state& self, const learned_record& learned)
+{
+    if (!self.table || learned.published.key != self.table_key) {
+        return false;
     }
+    const auto* table = std::get_if<routing::table_pointer>(&learned.content);
+    return learned.published.removed || table == nullptr ||
+           (*table)->version <= self.table->version;
 }
 
 void apply_record(state& self, const learned_record& learned,
-                  const std::string& source, outcome& result, context& context)
+                  const records_learned& event, outcome& result,
+                  context& context)
 {
     const auto& published = learned.published;
     auto& known = self.records[published.key];
     if (published.revision <= known.published.revision) {
         return;
     }
-    known.published = published;
+    if (keeps_table(self, learned)) {
+        // Peers must learn the table in use, not the older one.
+        known.published.revision = published.revision;
+    } else {
+        known.published = published;
+    }
     known.removed_at = context.now;
     if (published.removed) {
-        remove_leaf(self, published.key, published, source, result, context);
+        remove_leaf(self, published.key, published.revision, event.source,
+                    result, context);
     } else {
-        apply_content(self, learned, source, result, context);
+        apply_content(self, learned, event, result, context);
     }
 }
 
+void remove_record(state& self, const std::string& key, known_record& known,
+                   std::uint64_t revision, std::string_view source,
+                   outcome& result, context& context)
+{
+    auto& published = known.published;
+    published.removed = true;
+    published.revision = revision;
+    published.content.clear();
+    known.removed_at = context.now;
+    remove_leaf(self, key, revision, source, result, context);
+}
+
+// Whether the record was written in an earlier era and not since.
+bool is_of_earlier_era(const state& self, const wire::published_record& record)
+{
+    return era_of(record.revision) < self.era;
+}
+
 // Removes the records that a complete listing lacks, except those published
-// after the listing was made.
+// after the listing was made, and those that the store may have lost and that
+// may still be written again.
 void remove_unlisted(state& self, const records_learned& event, outcome& result,
                      context& context)
 {
@@ -127,16 +206,58 @@
     }
     std::sort(listed_keys.begin(), listed_keys.end());
     for (auto& [key, known] : self.records) {
-        auto& published = known.published;
+        const auto& published = known.published;
         if (published.removed || published.revision > event.revision ||
+            (self.distrust_until && is_of_earlier_era(self, published)) ||
             std::binary_search(listed_keys.begin(), listed_keys.end(), key)) {
             continue;
         }
-        published.removed = true;
-        published.revision = event.revision;
-        published.content.clear();
-        known.removed_at = context.now;
-        remove_leaf(self, key, published, event.source, result, context);
+        remove_record(self, key, known, event.revision, event.source, result,
+                      context);
+    }
+}
+
+// Adopts a higher era of the store. The records have to be listed again, since
+// the copy may lack some and its revisions are given out again.
+void adopt_era(state& self, std::uint64_t era, context& context)
+{
+    if (era <= self.era) {
+        return;
+    }
+    if (self.revision > 0) {
+        context.emit(write_log{make_record(
+            store_came_back, field("era", self.era), field("new_era", era),
+            field("revision", store_revision_of(self.revision)),
+            field("kept", self.records.size()))});
+        context.emit(add_to_counter{metrics::counter::store_returns});
+    }
+    self.era = era;
+    self.era_heard_at = context.now;
+    self.listed = false;
+    self.history_lost = true;
+}
+
+// Ends the time in which records of the copy are distrusted: removes the leafs
+// that did not write themselves again, and uses those that the store still
+// lists.
+void end_distrust(state& self, outcome& result, context& context)
+{
+    constexpr std::string_view source = "copy_distrust";
+    self.distrust_until.reset();
+    for (auto& [key, known] : self.records) {
+        const auto& published = known.published;
+        if (!published.removed && key != self.table_key &&
+            is_of_earlier_era(self, published)) {
+            remove_record(self, key, known, self.revision, source, result,
+                          context);
+        }
+    }
+    records_learned kept;
+    kept.source = source;
+    const auto believed = std::exchange(self.distrusted, {});
+    for (const auto& [key, leaf] : believed) {
+        update_leaf(self, self.records[key].published, leaf, kept, result,
+                    context);
     }
 }
 
@@ -153,6 +274,10 @@
             ++it;
         }
     }
+    std::erase_if(self.departed, [&](const auto& each) {
+        return self.leafs.count(each.first) == 0 &&
+               now - each.second.departed_at > self.settings.removal_retention;
+    });
 }
 
 void handle_store_answer(state& self, context& context)
@@ -173,6 +298,16 @@
                            : self.settings.watch_interval);
 }
 
+// Discards an answer of the store: it belongs to an earlier era, or reports
+// changes of a later one whose records are not known yet.
+void list_again(state& self, boot_time now)
+{
+    self.call_in_progress = false;
+    self.listed = false;
+    self.history_lost = true;
+    self.next_call_at = now + self.settings.watch_interval;
+}
+
 void call_store(state& self, outcome& result, context& context)
 {
     self.call_in_progress = true;
@@ -203,6 +338,9 @@
 void handle_digest(state& self, const wire::member_record& from,
                    const wire::digest& digest, boot_time now)
 {
+    if (era_of(digest.manifest_version) >= self.era) {
+        self.era_heard_at = now;
+    }
     if (digest.manifest_version <=
         std::max(self.revision, self.peer_revision)) {
         return;
@@ -254,19 +392,37 @@
         context.now >= self.peer_fetch_at) {
         request_from_peer(self, context);
     }
+    if (self.distrust_until && context.now >= *self.distrust_until) {
+        end_distrust(self, result, context);
+    }
 }
 
 void reduce(state& self, const records_learned& event, outcome& result,
             context& context)
 {
+    const bool from_store = event.source == "store";
+    const auto era = era_of(event.revision);
+    const bool new_era = era > self.era;
+    adopt_era(self, era, context);
+    if (era < self.era || (from_store && new_era && !event.complete)) {
+        if (from_store) {
+            list_again(self, context.now);
+        } else {
+            self.peer_exchange.reset();
+        }
+        return;
+    }
+    if (self.revision > 0 && era > era_of(self.revision)) {
+        self.distrust_until = context.now + self.settings.copy_distrust;
+    }
     for (const auto& each : event.records) {
-        apply_record(self, each, event.source, result, context);
+        apply_record(self, each, event, result, context);
     }
     if (event.complete && event.revision >= self.revision) {
         remove_unlisted(self, event, result, context);
     }
     self.revision = std::max(self.revision, event.revision);
-    if (event.source == "store") {
+    if (from_store) {
         handle_store_answer(self, context);
     } else {
         self.peer_exchange.reset();
@@ -279,6 +435,7 @@
 {
     self.call_in_progress = false;
     context.emit(add_to_counter{metrics::counter::platform_failures});
+    adopt_era(self, event.era, context);
     if (event.history_gone) {
         context.emit(write_log{
             make_record(history_gone, field("revision", self.revision))});
@@ -356,6 +513,11 @@
     return digest;
 }
 
+bool peers_follow_era(const state& self, boot_time now)
+{
+    return self.era == 0 || now - self.era_heard_at < self.settings.era_timeout;
+}
+
 bool is_up_to_date(const state& self, boot_time now)
 {
     if (reads_store(self) &&
@@ -375,6 +537,9 @@
     if (self.peer_revision > self.revision && !self.peer_exchange) {
         next = std::min(next, self.peer_fetch_at);
     }
+    if (self.distrust_until) {
+        next = std::min(next, *self.distrust_until);
+    }
     return next;
 }
 
--- a/libraries/topology/topology.hpp
+++ b/libraries/topology/topology.hpp
@@ -5,6 +5,7 @@
 #include "libraries/reducer/effect.hpp"
 #include "libraries/reducer/event.hpp"
 #include "libraries/routing/routing.hpp"
+#include "libraries/topology/era.hpp"
 
 #include <map>
 #include <optional>
@@ -49,6 +50,7 @@
 struct store_failed {
     error cause;
     bool history_gone = false;
+    std::uint64_t era = 0; // of the store's answer; 0: not given
 };
 
 // Reads all records from the store; answered by records_learned with
@@ -97,12 +99,26 @@
     // How long a removed record is kept, so that an older version of it from a
     // peer is not taken for a new record.
     duration removal_retention = seconds{60};
+    // After the store has come back from a copy, leafs write their records
+    // again within about two seconds. For this long, records that the copy
+    // lacks are kept, and a leaf that was draining or removed before is not
+    // used again on the word of the copy.
+    duration copy_distrust = seconds{5};
+    // A daemon that has heard of no peer in the store's era for this long reads
+    // the store itself.
+    duration era_timeout = seconds{4};
 };
 
 // How a daemon reads the store: a leader reads all changes, a follower reads
 // less often, and a daemon with no role receives changes from peers only.
 enum class store_role : std::uint8_t { none, follower, leader };
 
+// A leaf that was published as draining, or removed.
+struct departed_leaf {
+    std::uint64_t incarnation = 0;
+    boot_time departed_at{};
+};
+
 struct known_record {
     wire::published_record published;
     boot_time removed_at{};
@@ -111,13 +127,24 @@
 struct state {
     options settings;
     random_source random;
-    std::map<std::string, known_record> records;  // including removed ones
-    std::map<std::string, std::string> leaf_keys; // leaf ids by record key
+    std::map<std::string, known_record> records; // including removed ones
+    std::map<std::string, routing::leaf> leafs;  // published; by record key
     std::uint64_t revision = 0; // all changes up to it are known
     // The highest revision of a removal that has been deleted from `records`.
     // A peer that knows only earlier revisions is sent a complete list.
     std::uint64_t forgotten_revision = 0;
     routing::table_pointer table; // null until one is known
+    std::string table_key;        // of the table's record
+    // The store's era; see era.hpp.
+    std::uint64_t era = 0;
+    // When a peer last reported a revision of this era.
+    boot_time era_heard_at = boot_time::min();
+    // Until then, the records of the copy that began the era are distrusted;
+    // see options::copy_distrust.
+    std::optional<boot_time> distrust_until;
+    std::map<std::string, departed_leaf> departed; // by record key
+    // Leafs that the copy lists as ready although they had departed; by key.
+    std::map<std::string, routing::leaf> distrusted;
     // Requests to the store.
     store_role role = store_role::none;
     bool call_in_progress = false;
@@ -169,6 +196,10 @@
 // Changes how this daemon reads the store. A call in progress is not cancelled.
 void set_role(state&, store_role, boot_time now);
 
+// Whether peers can deliver the changes of the store's era. They can't if they
+// all run a version of this program that ignores eras.
+bool peers_follow_era(const state&, boot_time now);
+
 // The revision known here, as a digest for datagrams.
 wire::digest digest_of(const state&);
 
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -88,3 +88,45 @@
     BOOST_REQUIRE_EQUAL(learned->records.size(), 1U);
     BOOST_TEST(learned->records[0].published.key == "op/config");
 }
+
+// Guards against ordering revisions that are given out again in a later era by
+// their number alone.
+BOOST_AUTO_TEST_CASE(revisions_are_ordered_by_the_era_of_the_answer)
+{
+    const auto base = client::make_event_base();
+    const auto address = http_test::raw_listener().address();
+    site::store store(base.get(), address);
+    store.put("op/config", empty_table);
+    store.save_copy();
+    store.put("servers/a", "{}");
+    const auto before = read_all_records(base.get(), address, false);
+    BOOST_TEST(store.come_back().size() == 1U);
+    const auto after = read_all_records(base.get(), address, false);
+    BOOST_TEST(after.revision > before.revision);
+    BOOST_TEST(topology::era_of(after.revision) ==
+               topology::era_of(before.revision) + 1);
+    BOOST_TEST(topology::store_revision_of(after.revision) <
+               topology::store_revision_of(before.revision));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_a_valid_era_keeps_the_last_one)
+{
+    const auto base = client::make_event_base();
+    const auto address = http_test::raw_listener().address();
+    site::store store(base.get(), address);
+    store.put("op/config", empty_table);
+    std::optional<topology::records_learned> learned;
+    const auto call =
+        platform::make_store(address)(base.get(), [&](gateway::any_event what) {
+            learned = std::get<topology::records_learned>(what);
+        });
+    for (const auto* header :
+         {"7", "", "x", "-1", "8 9", "99999999999999999999999"}) {
+        store.set_era_header(header);
+        learned.reset();
+        call(topology::read_all{false});
+        BOOST_REQUIRE(
+            http_test::run_until(base.get(), [&] { return !!learned; }));
+        BOOST_TEST(topology::era_of(learned->revision) == 7U);
+    }
+}
--- /dev/null
+++ b/tests/topology/topology_fixture.hpp
@@ -0,0 +1,92 @@
+#ifndef BULRUSHSPRING_TESTS_TOPOLOGY_TOPOLOGY_FIXTURE_HPP
+#define BULRUSHSPRING_TESTS_TOPOLOGY_TOPOLOGY_FIXTURE_HPP
+
+#include "libraries/topology/topology.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+// One daemon's replica of the records, with a manual clock, whose effects are
+// recorded.
+namespace bulrushspring::topology::test
+{
+
+struct fixture {
+    manual_clock clock;
+    std::vector<effect> effects;
+    std::uint64_t last_identifier = 0;
+    outcome result;
+    topology::state state = make_state({}, 1, clock.now());
+
+    fixture() { set_role(state, store_role::leader, clock.now()); }
+
+    template <typename Event>
+    void apply(const Event& what)
+    {
+        context context{clock.now(), effects, last_identifier};
+        reduce(state, what, result, context);
+    }
+
+    static learned_record leaf(const std::string& id, std::uint64_t revision,
+                               bool removed = false)
+    {
+        routing::leaf made;
+        made.id = id;
+        return {{"leaf/" + id, revision, removed, id}, made};
+    }
+
+    static learned_record table(std::uint64_t version, std::uint64_t revision)
+    {
+        auto made = std::make_shared<routing::table>();
+        made->version = version;
+        return {{"table", revision, false, std::to_string(version)},
+                routing::table_pointer(made)};
+    }
+
+    void receive_records(std::uint64_t revision, bool complete,
+                         std::vector<learned_record> records,
+                         const std::string& source = "store")
+    {
+        apply(records_learned{source, revision, complete, std::move(records)});
+    }
+
+    template <typename Change>
+    std::vector<Change> take()
+    {
+        std::vector<Change> taken;
+        for (const auto& each : result.changes) {
+            if (const auto* found = std::get_if<Change>(&each)) {
+                taken.push_back(*found);
+            }
+        }
+        result.changes.clear();
+        return taken;
+    }
+
+    std::vector<store_call> take_calls()
+    {
+        apply(tick{});
+        return std::exchange(result.calls, {});
+    }
+
+    void receive_digest(std::uint64_t revision)
+    {
+        wire::ping ping;
+        ping.from.peer = parse_endpoint("127.0.0.1:7002").value();
+        ping.in_force.manifest_version = revision;
+        apply(datagram_received{ping.from.peer, ping});
+    }
+
+    std::size_t take_peer_requests()
+    {
+        const auto count =
+            std::count_if(effects.begin(), effects.end(), [](const auto& each) {
+                return std::holds_alternative<send_peer_request>(each);
+            });
+        effects.clear();
+        return static_cast<std::size_t>(count);
+    }
+};
+
+} // namespace bulrushspring::topology::test
+
+#endif
