gateway: Obey leafs that leave or ask for a pause

Cause: Server-Leaving and Retry-After of a leaf were not read. A leaf that said it was leaving got requests until its record said so, and one that asked for a pause was tried again after 0.1 s, by hedges, retries and new connections. A part without any leaf that can take it was tried every 10 ms until the deadline.

Change: both statements are read from every answer, late and failed ones included, and hold for the incarnation that made them. If no leaf of a service accepts requests before the answer is due, the part fails at once, and a request that has not run is refused with the time at which one returns, spread by up to a quarter. A query goes on without the part.

Ruled out: telling peers (each daemon is bound by what it was told itself; the leaf's record reaches the others); closing idle connections of a leaf that pauses (they would have to be opened again).

--- a/libraries/gateway/answers.cpp
+++ b/libraries/gateway/answers.cpp
@@ -34,8 +34,17 @@
     return answer;
 }
 
-duration retry_after(const exchange_options& settings, const exchange& exchange)
+duration retry_after(const exchange_step& step, const exchange& exchange)
 {
+    const auto& settings = step.state.settings;
+    if (exchange.available_at != boot_time::min()) {
+        const duration wait = exchange.available_at == boot_time::max()
+                                  ? settings.unknown_retry_after
+                                  : exchange.available_at - step.context.now;
+        const double spread =
+            settings.retry_after_spread * random_fraction(step.pool.random);
+        return wait + std::chrono::duration_cast<duration>(wait * spread);
+    }
     const auto share = std::chrono::duration_cast<duration>(
         exchange.route->objective * settings.retry_after_share);
     return std::min(share, settings.max_retry_after);
@@ -70,7 +79,7 @@
         });
     if (!exchange.may_have_run && exchange.covered == 0 && !pending) {
         answer.kind = answer_kind::not_run;
-        answer.retry_after = retry_after(step.state.settings, exchange);
+        answer.retry_after = retry_after(step, exchange);
     } else {
         answer.kind = step.context.now >= exchange.answer_by
                           ? answer_kind::timed_out
--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -150,6 +150,26 @@
     ++exchange.failed;
 }
 
+// Whether no leaf of the part's service accepts requests before the exchange
+// has to be answered.
+bool is_unavailable(exchange_step& step, exchange& exchange,
+                    const request_part& part)
+{
+    const auto now = step.context.now;
+    const auto available = available_at(step.pool, part.service, now);
+    if (available <= exchange.answer_by) {
+        return false;
+    }
+    exchange.available_at = std::max(exchange.available_at, available);
+    step.context.log(
+        make_record(part_unavailable, field("request", exchange.request->id),
+                    field("service", part.service),
+                    field("for_ms", available == boot_time::max()
+                                        ? -1
+                                        : to_milliseconds(available - now))));
+    return true;
+}
+
 // Schedules a retry, or fails the part if no leaf can take it any more.
 void retry_later_or_fail(exchange_step& step, exchange& exchange,
                          request_part& part)
@@ -158,7 +178,8 @@
         std::any_of(part.tried.begin(), part.tried.end(), [](const auto& each) {
             return each.outcome == attempt_outcome::refused;
         });
-    if (leaf_limit_reached(exchange, part) && !refused_somewhere) {
+    if ((leaf_limit_reached(exchange, part) && !refused_somewhere) ||
+        is_unavailable(step, exchange, part)) {
         fail_part(exchange, part);
         return;
     }
@@ -223,23 +244,6 @@
     }
 }
 
-// Cancels an attempt that was not transmitted. Its connection continues to
-// open and is then idle.
-void cancel_unsent(exchange_step& step, request_part& part, attempt_id id)
-{
-    const auto found = step.state.attempts.find(raw(id));
-    const auto connection =
-        step.pool.connections.find(raw(found->second.connection));
-    if (connection != step.pool.connections.end()) {
-        connection->second.attempt.reset();
-    }
-    if (auto* leaf = find_leaf(step.pool, found->second.leaf)) {
-        --leaf->in_flight;
-    }
-    remove_unsent(step, part, id, found->second);
-    step.state.attempts.erase(found);
-}
-
 // Cancels attempts whose connections are not established in time, so that
 // the part is sent to another leaf.
 void cancel_slow_connects(exchange_step& step, request_part& part)
@@ -327,6 +331,21 @@
     }
 }
 
+void cancel_unsent(exchange_step& step, request_part& part, attempt_id id)
+{
+    const auto found = step.state.attempts.find(raw(id));
+    const auto connection =
+        step.pool.connections.find(raw(found->second.connection));
+    if (connection != step.pool.connections.end()) {
+        connection->second.attempt.reset();
+    }
+    if (auto* leaf = find_leaf(step.pool, found->second.leaf)) {
+        --leaf->in_flight;
+    }
+    remove_unsent(step, part, id, found->second);
+    step.state.attempts.erase(found);
+}
+
 void remove_unsent(exchange_step& step, request_part& part, attempt_id id,
                    const attempt& unsent)
 {
--- a/libraries/gateway/attempts.hpp
+++ b/libraries/gateway/attempts.hpp
@@ -26,6 +26,10 @@
 void record_attempt_outcome(exchange_step&, request_part&, attempt_id,
                             const attempt&, attempt_outcome);
 
+// Cancels an attempt that was not transmitted. Its connection is kept, and is
+// idle once it is open.
+void cancel_unsent(exchange_step&, request_part&, attempt_id);
+
 // Removes an attempt that was not transmitted from the part and refunds its
 // budget.
 void remove_unsent(exchange_step&, request_part&, attempt_id, const attempt&);
--- a/libraries/gateway/event.hpp
+++ b/libraries/gateway/event.hpp
@@ -31,7 +31,9 @@
     std::string body;
     std::string signature;    // the leaf's signature of this answer
     bool not_run = false;     // the leaf states that it did not run the request
+    bool leaving = false;     // the leaf states that it is leaving
     duration idle_timeout{0}; // of the connection at the leaf; 0: not given
+    duration retry_after{0};  // the leaf wants no request before; 0: not given
 };
 
 // A caller has sent a request.
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -415,7 +415,15 @@
     }
     auto& attempt = step.state.attempts.at(raw(*connection.attempt));
     auto& exchange = step.state.exchanges.at(raw(attempt.exchange));
-    transmit(step, exchange, exchange.parts[attempt.part], attempt);
+    auto& part = exchange.parts[attempt.part];
+    if (!accepts_requests(leaf, step.context.now)) {
+        cancel_unsent(step, part, *connection.attempt);
+        part.next_action_at = step.context.now;
+        leaf.idle.push_back(event.connection);
+        advance(step, exchange);
+        return;
+    }
+    transmit(step, exchange, part, attempt);
     schedule_timer(step, exchange);
 }
 
@@ -428,6 +436,7 @@
     const attempt_id id = *found->second.attempt;
     const attempt ended = remove_attempt(step, id);
     update_leaf_statistics(step, ended, event.reply);
+    apply_statements(step.pool, event.connection, event.reply, step.context);
     if (event.reusable) {
         release(step.pool, event.connection, event.reply, step.context);
     } else {
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -41,6 +41,11 @@
     // the maximum.
     duration max_retry_after = milliseconds{100};
     double retry_after_share = 0.2;
+    // Retry-After while no leaf of a service is known, and the spread that is
+    // added to a later time at random, so that refused callers don't return
+    // together.
+    duration unknown_retry_after = milliseconds{500};
+    double retry_after_spread = 0.25;
     std::size_t max_exchanges = 4096; // in progress
     limits::window_limits budget;     // of extra attempts, for each service
 };
@@ -91,7 +96,10 @@
     boot_time objective_deadline{};
     boot_time answer_by{}; // the exchange is finished by then in any case
     boot_time deadline{};  // of the caller
-    boot_time timer{};     // other entries of the timer queue are obsolete
+    // When the part that is available last accepts requests again, if that is
+    // too late for this exchange; boot_time::max() if no leaf is known.
+    boot_time available_at = boot_time::min();
+    boot_time timer{}; // other entries of the timer queue are obsolete
     duration expected_latency{0}; // median of the route; 0: not known yet
     duration hedge_delay{0};
 };
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -36,7 +36,7 @@
 
 bool usable(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
 {
-    if (leaf.misdirected || leaf.published.draining) {
+    if (leaf.misdirected || leaf.leaving || leaf.published.draining) {
         return false;
     }
     return leaf.listed || now - leaf.unlisted_at < pool.settings.unlisted_grace;
@@ -180,6 +180,7 @@
     const auto id = context.shared.new_identifier<connection_id>();
     auto& opened = pool.connections[raw(id)];
     opened.leaf = leaf.published.id;
+    opened.incarnation = leaf.incarnations;
     opened.attempt = attempt;
     opened.since = context.now;
     ++leaf.connections;
@@ -287,6 +288,9 @@
         remove_from_service(pool, leaf);
         leaf.latency_ratio = 1.0;
         leaf.misdirected = false;
+        leaf.leaving = false;
+        leaf.barred_until = context.now;
+        ++leaf.incarnations;
         leaf.failed_connections = 0;
         leaf.backoff_until = context.now;
     }
@@ -328,7 +332,7 @@
     double best_cost = 0;
     for (const auto& id : found->second) {
         auto& leaf = pool.leafs.at(id);
-        if (!usable(pool, leaf, now) ||
+        if (!usable(pool, leaf, now) || !accepts_requests(leaf, now) ||
             !limits::admits(leaf.limit, leaf.in_flight) ||
             std::find(excluded.begin(), excluded.end(), id) != excluded.end() ||
             (leaf.idle.empty() &&
@@ -371,6 +375,53 @@
     return open(pool, leaf, attempt, context);
 }
 
+bool accepts_requests(const leaf_state& leaf, boot_time now)
+{
+    return !leaf.leaving && now >= leaf.barred_until;
+}
+
+void apply_statements(leaf_pool& pool, connection_id id,
+                      const leaf_reply& reply, context& context)
+{
+    const auto& connection = pool.connections.at(raw(id));
+    auto& leaf = pool.leafs.at(connection.leaf);
+    if (connection.incarnation != leaf.incarnations) {
+        return; // an earlier incarnation has answered
+    }
+    if (reply.leaving && !leaf.leaving) {
+        leaf.leaving = true;
+        context.log(make_record(leaf_states_leaving,
+                                field("leaf", leaf.published.id),
+                                field("service", leaf.published.service)));
+        close_idle(pool, leaf, context);
+    }
+    if (reply.retry_after > duration{0}) {
+        leaf.barred_until =
+            std::max(leaf.barred_until, context.now + reply.retry_after);
+        context.log(
+            make_record(leaf_barred, field("leaf", leaf.published.id),
+                        field("service", leaf.published.service),
+                        field("for_ms", to_milliseconds(reply.retry_after))));
+    }
+}
+
+boot_time available_at(const leaf_pool& pool, const std::string& service,
+                       boot_time now)
+{
+    const auto found = pool.by_service.find(service);
+    boot_time earliest = boot_time::max();
+    if (found == pool.by_service.end()) {
+        return earliest;
+    }
+    for (const auto& id : found->second) {
+        const auto& leaf = pool.leafs.at(id);
+        if (usable(pool, leaf, now)) {
+            earliest = std::min(earliest, std::max(now, leaf.barred_until));
+        }
+    }
+    return earliest;
+}
+
 void release(leaf_pool& pool, connection_id id, const leaf_reply& reply,
              context& context)
 {
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -67,6 +67,7 @@
 
 struct leaf_connection {
     std::string leaf;
+    std::uint32_t incarnation = 0; // leaf_state::incarnations when opened
     bool open = false;
     bool answered = false;             // at least one answer was received on it
     std::optional<attempt_id> attempt; // that uses it or waits for it
@@ -79,6 +80,11 @@
     bool listed = false; // its record is in the store
     boot_time unlisted_at{};
     bool misdirected = false; // another server answers at its address
+    // It has stated in an answer that it is leaving.
+    bool leaving = false;
+    // It has stated with a refusal that it wants no request before this time.
+    boot_time barred_until{};
+    std::uint32_t incarnations = 0; // changes of its published incarnation
     // Moving average of observed over expected latency; 1 is as expected.
     double latency_ratio = 1.0;
     boot_time sampled_at{};
@@ -148,6 +154,20 @@
 std::optional<connection_id> acquire(leaf_pool&, leaf_state&, attempt_id,
                                      bool idempotent, context&);
 
+// Whether the leaf may be sent a request now, as far as it has stated.
+bool accepts_requests(const leaf_state&, boot_time now);
+
+// Adopts what an answer on the connection states about its leaf: that it is
+// leaving, or wants no request for a time. A leaf that is leaving is not used
+// again before it is published with a new incarnation.
+void apply_statements(leaf_pool&, connection_id, const leaf_reply&, context&);
+
+// The earliest time at which a leaf of the service may be sent a request:
+// `now` if one accepts requests, although it may be busy; boot_time::max() if
+// there is no leaf that can be used.
+boot_time available_at(const leaf_pool&, const std::string& service,
+                       boot_time now);
+
 // Returns a connection that has been answered to the idle ones.
 void release(leaf_pool&, connection_id, const leaf_reply&, context&);
 
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -102,3 +102,47 @@
     BOOST_TEST(http::header_count(reply.headers, "content-length") == 0U);
     BOOST_TEST(http::header_count(reply.headers, "keep-alive") == 0U);
 }
+
+namespace
+{
+
+gateway::leaf_reply read_refusal(std::vector<std::string> retry_after,
+                                 unsigned status = 503)
+{
+    http::response message;
+    message.status = status;
+    message.headers = {{"Not-Executed", "1"}};
+    for (auto& each : retry_after) {
+        message.headers.push_back({"Retry-After", std::move(each)});
+    }
+    return protocol.read_reply(message);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_leaf_states_that_it_is_leaving_with_any_status)
+{
+    for (const unsigned status : {200U, 421U, 500U, 503U}) {
+        const auto reply =
+            protocol.read_reply({status, "", {{"server-leaving", "1"}}, ""});
+        BOOST_TEST(reply.leaving);
+    }
+    BOOST_TEST(!protocol.read_reply({200, "", {}, ""}).leaving);
+    BOOST_TEST(
+        !protocol.read_reply({200, "", {{"Server-Leaving", "0"}}, ""}).leaving);
+}
+
+BOOST_AUTO_TEST_CASE(retry_after_of_a_leaf_is_read_as_seconds)
+{
+    BOOST_TEST((read_refusal({"2"}).retry_after == seconds{2}));
+    BOOST_TEST((read_refusal({"0.25"}).retry_after == milliseconds{250}));
+    BOOST_TEST((read_refusal({"1", "3", "2"}).retry_after == seconds{3}));
+    BOOST_TEST((read_refusal({"1e300"}).retry_after == duration{0}));
+    BOOST_TEST((read_refusal({"999999999999999"}).retry_after ==
+                std::chrono::hours{1}));
+    BOOST_TEST((read_refusal({"2"}, 429).retry_after == duration{0}));
+    for (const auto* text : {"", "-1", "inf", "nan", "soon", "2 s", "0x10",
+                             "1,5", "Fri, 04 Dec 2026 08:00:00 GMT"}) {
+        BOOST_TEST((read_refusal({text}).retry_after == duration{0}), text);
+    }
+}
