gateway: Let as many daemons serve as the load requires

All 295 daemons were named, and a gather of 90 parts takes a VM of 0.12 cores longer than the objective; each of them also opened connections to leafs, 6 ms of a slot each.

Change: gateway/serving_set selects the daemons that serve: the large ones, and others in order of size as long as a tenth of the fleet's capacity, a quarter of what the large ones had before a loss, or the overload observed require them. It grows by steps and shrinks with a half-life, in place of all or nothing. Only these daemons open connections in advance.

Ruled out: a lower limit (the cliff moves); a load figure in the members' record (older daemons refuse the flag).

--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -80,7 +80,7 @@
     std::size_t large = 0;
     for (const auto& member : live) {
         near += member.data_centre == self.pool.data_centre ? 1 : 0;
-        large += is_large(self.settings.entries, member, fleet.largest_capacity)
+        large += is_large(self.settings.serving, member, fleet.largest_capacity)
                      ? 1
                      : 0;
     }
@@ -88,10 +88,41 @@
     fleet.near = std::max(fleet.near, near);
     fleet.large = std::max(fleet.large, large);
     fleet.self_is_large =
-        is_large(self.settings.entries, membership::self_of(self.members),
+        is_large(self.settings.serving, membership::self_of(self.members),
                  fleet.largest_capacity);
 }
 
+// The daemons that callers can reach. An isolated daemon includes members that
+// it suspects to be dead: callers may reach those that it can't.
+std::vector<wire::member_record> reachable_members(const state& self)
+{
+    auto live = membership::view_of(self.members).members;
+    const auto& own = membership::self_of(self.members).name;
+    std::erase_if(live, [&](const auto& member) {
+        return member.name == own
+                   ? self.stop_requested_at.has_value()
+                   : member.status != wire::member_status::alive &&
+                         !self.members.isolated;
+    });
+    return live;
+}
+
+void update_serving_set(state& self, boot_time now)
+{
+    review(self.serving, self.settings.serving, reachable_members(self), now);
+    self.pool.fleet.self_serves =
+        serves(self.serving, membership::self_of(self.members).name);
+}
+
+void update_serving_set_if_due(state& self, boot_time now)
+{
+    if (self.serving.reviewed_at == boot_time::min() ||
+        now - self.serving.reviewed_at >=
+            self.settings.serving.review_interval) {
+        update_serving_set(self, now);
+    }
+}
+
 // Sets this daemon's share of the site's retry budget. Large daemons divide
 // the greater part, since they serve the callers. A daemon that does not know
 // its fleet yet takes none, and one that has just started takes less: its
@@ -191,6 +222,7 @@
     update_store_role(self, context.now);
     pass_to_topology(self, event, context);
     update_fleet_summary(self, context.now);
+    update_serving_set_if_due(self, context.now);
     update_budget(self, context.now);
     maintain(self.pool, context);
     activate_table_if_prepared(self, context);
@@ -257,26 +289,20 @@
     pass_to_exchanges(self, event, context);
 }
 
-// The daemons that callers may connect to. An isolated daemon includes members
-// that it suspects to be dead: callers may reach those that it can't.
-std::vector<wire::member_record> entry_candidates(const state& self)
-{
-    auto live = membership::view_of(self.members).members;
-    const auto& own = membership::self_of(self.members).name;
-    std::erase_if(live, [&](const auto& member) {
-        return member.name == own
-                   ? !accepts_callers(self)
-                   : member.status != wire::member_status::alive &&
-                         !self.members.isolated;
-    });
-    return live;
-}
-
 void step(state& self, const entries_requested& event, context& context)
 {
+    // A view that is still incomplete changes with every datagram.
+    if (self.pool.fleet.recently_started) {
+        update_serving_set(self, context.now);
+    }
+    auto serving = self.serving.members;
+    if (!accepts_callers(self)) {
+        const auto& own = membership::self_of(self.members).name;
+        std::erase_if(serving,
+                      [&](const auto& each) { return each.name == own; });
+    }
     context.emit(answer_entries{event.token,
-                                choose_entries(self.settings.entries,
-                                               entry_candidates(self),
+                                choose_entries(self.settings.entries, serving,
                                                event.data_centre, self.random),
                                 self.settings.entries_ttl});
 }
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include "libraries/gateway/entries.hpp"
 #include "libraries/gateway/exchange.hpp"
 #include "libraries/gateway/load.hpp"
+#include "libraries/gateway/serving_set.hpp"
 #include "libraries/membership/membership.hpp"
 
 #include <optional>
@@ -18,6 +19,7 @@
     exchange_options exchanges;
     topology::options topology;
     membership::options membership;
+    serving_options serving;
     entry_options entries;
     load_options load;
     // Processor share of this VM, in thousandths of a core; 0: unknown.
@@ -60,6 +62,7 @@
     leaf_pool pool;
     exchanges_state exchanges;
     load_state load;
+    serving_set serving;
     random_source random;
     std::uint64_t fleet_generation = 0; // of the membership view last counted
     routing::table_pointer table;       // in force
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -236,9 +236,10 @@
             close_connection(pool, id, context);
         }
     }
-    if (pool.fleet.known && leaf.connections == 0 && leaf.listed &&
-        context.now >= leaf.backoff_until &&
+    if (pool.fleet.known && pool.fleet.self_serves && leaf.connections == 0 &&
+        leaf.listed && context.now >= leaf.backoff_until &&
         context.now >= leaf.preconnect_after &&
+        accepts_requests(leaf, context.now) &&
         pool.opening < pool.settings.max_opening &&
         connection_quota(pool, leaf, context.now) > 0) {
         open(pool, leaf, std::nullopt, context);
@@ -492,6 +493,9 @@
 bool is_prepared_for(const leaf_pool& pool, const routing::table& table,
                      boot_time now)
 {
+    if (!pool.fleet.self_serves) {
+        return true;
+    }
     const auto has_connections = [&](const std::string& service) {
         const auto found = pool.by_service.find(service);
         if (found == pool.by_service.end()) {
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -117,6 +117,9 @@
     std::size_t large = 1;              // with the largest VMs
     std::uint32_t largest_capacity = 0; // in thousandths of a core
     bool self_is_large = true;
+    // Whether callers are directed to this daemon. The others open connections
+    // only for requests that reach them nevertheless.
+    bool self_serves = true;
     bool known = false; // until then no connection is opened in advance
     // Not all other daemons have been discovered yet. Until then the quota is
     // the least that any daemon may have.
