gateway: Spend overloaded shards on parts that are still needed

Leafs got the caller's whole time for each part, so they worked through a queue of parts whose queries had been answered without them, and every answer was late. Hedges (171 of 277 extra attempts) used up the retry budget, and a part that found none failed its query, which the caller repeated at all shards.

Change: a part of a query gets the time until the objective, and is sent again with all the time left if the query still needs it. Hedges leave 0.4 of the budget to retries. A part waits for the budget instead of failing. A part whose connections broke off is sent again to a leaf that was tried, twice at most: the route limits the leafs, not the attempts.

Ruled out: closing the connections of abandoned attempts (a new one costs a leaf's slot 6 ms); using draining leafs as a reserve (gone after drainMs, the pattern lasts longer).

--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -1,5 +1,6 @@
 #include "libraries/gateway/attempts.hpp"
 
+#include "libraries/gateway/answers.hpp"
 #include "libraries/gateway/events.hpp"
 #include "libraries/gateway/leaf_statistics.hpp"
 
@@ -10,6 +11,9 @@
 namespace
 {
 
+// Attempts of a part beyond one at each leaf that the route permits.
+constexpr std::uint32_t max_repeats = 2;
+
 std::uint32_t part_number(const exchange& exchange, const request_part& part)
 {
     return static_cast<std::uint32_t>(&part - exchange.parts.data());
@@ -49,8 +53,22 @@
     return names;
 }
 
+// Whether the request may be sent once more to a leaf that was tried: it did
+// not run the request, or the request is idempotent and its connection ended
+// without an answer, or its time at the leaf ran out. The route limits the
+// leafs, not the attempts at one of them.
+bool may_repeat(const exchange& exchange, const request_part& part,
+                const tried_leaf& tried)
+{
+    return tried.outcome == attempt_outcome::refused ||
+           ((tried.outcome == attempt_outcome::broke_off ||
+             tried.outcome == attempt_outcome::expired) &&
+            exchange.route->idempotent &&
+            part.attempts < exchange.route->max_leafs + max_repeats);
+}
+
 // Chooses the leaf of the next attempt: one not tried yet while the route's
-// limit on leafs permits it, otherwise one that refused the request.
+// limit on leafs permits it, otherwise one that may get the request again.
 leaf_state* next_leaf(exchange_step& step, const exchange& exchange,
                       const request_part& part)
 {
@@ -64,30 +82,40 @@
     }
     const auto found = step.pool.by_service.find(part.service);
     if (found == step.pool.by_service.end() ||
-        now - step.state.settings.retry_delay < part.refused_at) {
+        now - step.state.settings.retry_delay < part.ended_at) {
         return nullptr;
     }
     std::vector<std::string> excluded;
     for (const auto& id : found->second) {
-        const bool refused = std::any_of(
+        const bool repeatable = std::any_of(
             part.tried.begin(), part.tried.end(), [&](const auto& each) {
-                return each.leaf == id &&
-                       each.outcome == attempt_outcome::refused;
+                return each.leaf == id && may_repeat(exchange, part, each);
             });
-        if (!refused) {
+        if (!repeatable) {
             excluded.push_back(id);
         }
     }
     return choose_leaf(step.pool, part.service, excluded, now);
 }
 
-bool charge_if_extra(exchange_step& step, const request_part& part)
+bool charge_if_extra(exchange_step& step, const request_part& part,
+                     double reserve)
 {
     if (!part.attempted) {
         return true;
     }
     return limits::spend(step.state.budgets[part.service],
-                         step.state.settings.budget, step.context.now);
+                         step.state.settings.budget, step.context.now, reserve);
+}
+
+bool charge_retry(exchange_step& step, const request_part& part)
+{
+    return charge_if_extra(step, part, 0.0);
+}
+
+bool charge_hedge(exchange_step& step, const request_part& part)
+{
+    return charge_if_extra(step, part, step.state.settings.retry_reserve);
 }
 
 // Starts an attempt at the leaf. It is transmitted at once on an idle
@@ -174,11 +202,10 @@
 void retry_later_or_fail(exchange_step& step, exchange& exchange,
                          request_part& part)
 {
-    const bool refused_somewhere =
-        std::any_of(part.tried.begin(), part.tried.end(), [](const auto& each) {
-            return each.outcome == attempt_outcome::refused;
-        });
-    if ((leaf_limit_reached(exchange, part) && !refused_somewhere) ||
+    const bool repeatable = std::any_of(
+        part.tried.begin(), part.tried.end(),
+        [&](const auto& each) { return may_repeat(exchange, part, each); });
+    if ((leaf_limit_reached(exchange, part) && !repeatable) ||
         is_unavailable(step, exchange, part)) {
         fail_part(exchange, part);
         return;
@@ -186,6 +213,24 @@
     part.next_action_at = step.context.now + step.state.settings.retry_delay;
 }
 
+// Keeps a part until the window allows another attempt: a failed query would be
+// repeated by its caller at all shards. A request with one part that has
+// not run is refused instead.
+void wait_for_budget(exchange_step& step, exchange& exchange,
+                     request_part& part)
+{
+    if (exchange.parts.size() == 1 && !exchange.may_have_run) {
+        fail_part(exchange, part);
+    }
+    if (!part.awaits_budget) {
+        part.awaits_budget = true;
+        step.context.log(make_record(budget_spent,
+                                     field("request", exchange.request->id),
+                                     field("service", part.service)));
+    }
+    part.next_action_at = step.context.now + step.state.settings.retry_delay;
+}
+
 void send_part(exchange_step& step, exchange& exchange, request_part& part,
                std::string_view why)
 {
@@ -198,11 +243,8 @@
         retry_later_or_fail(step, exchange, part);
         return;
     }
-    if (!charge_if_extra(step, part)) {
-        step.context.log(make_record(budget_spent,
-                                     field("request", exchange.request->id),
-                                     field("service", part.service)));
-        fail_part(exchange, part);
+    if (!charge_retry(step, part)) {
+        wait_for_budget(step, exchange, part);
         return;
     }
     const bool extra = part.attempted;
@@ -233,7 +275,7 @@
     }
     const auto tried = tried_leafs(part);
     auto* leaf = choose_leaf(step.pool, part.service, tried, now);
-    if (leaf == nullptr || !charge_if_extra(step, part)) {
+    if (leaf == nullptr || !charge_hedge(step, part)) {
         part.next_action_at = now + step.state.settings.retry_delay;
         return;
     }
@@ -264,6 +306,18 @@
 
 } // namespace
 
+boot_time work_deadline(const exchange& exchange, boot_time now)
+{
+    constexpr int min_objective_share = 4;
+    const duration objective =
+        exchange.objective_deadline - exchange.started_at;
+    const bool in_time =
+        exchange.objective_deadline - now >= objective / min_objective_share;
+    return is_query(exchange) && in_time
+               ? std::min(exchange.objective_deadline, exchange.answer_by)
+               : exchange.answer_by;
+}
+
 void transmit(exchange_step& step, exchange& exchange, request_part& part,
               attempt& started)
 {
@@ -272,10 +326,13 @@
     started.sent_at = now;
     started.abandon_at = exchange.deadline + step.state.settings.deadline_grace;
     part.attempted = true;
+    ++part.attempts;
     ++exchange.attempts;
     step.context.count(metrics::counter::leaf_requests);
+    const auto until = work_deadline(exchange, now);
+    started.limited = until < exchange.answer_by;
     step.context.emit(send_to_leaf{started.connection, exchange.request,
-                                   started.leaf, exchange.answer_by - now});
+                                   started.leaf, until - now});
 }
 
 bool reaches_minimum_coverage(const exchange& exchange)
@@ -376,13 +433,13 @@
         return;
     }
     const auto now = step.context.now;
+    part.ended_at = now;
     if (outcome == attempt_outcome::refused) {
-        part.refused_at = now;
         avoid(*leaf, now + step.pool.settings.refusal_penalty);
         step.context.count(metrics::counter::leaf_shed);
     } else if (outcome == attempt_outcome::misdirected) {
         leaf->misdirected = true;
-    } else if (outcome == attempt_outcome::failed) {
+    } else {
         avoid(*leaf, now + step.pool.settings.failure_penalty);
         step.context.count(metrics::counter::leaf_failures);
     }
--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -41,8 +41,8 @@
     "or a retry (why=failed)."};
 inline constexpr event_definition budget_spent{
     8008, severity::warning, "budget_spent", "request service",
-    "A part of a request was not retried: the retry budget of the service is "
-    "exhausted."};
+    "A part of a request waits with a retry: the retry budget of the service "
+    "is exhausted."};
 inline constexpr event_definition leaf_refused{
     8009, severity::warning, "leaf_refused",
     "request leaf status not_run after_ms",
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -233,8 +233,12 @@
 
 constexpr unsigned misdirected_status = 421;
 
-attempt_outcome outcome_of(const leaf_reply& reply)
+attempt_outcome outcome_of(const attempt& ended, const leaf_reply& reply)
 {
+    constexpr unsigned timeout_status = 504;
+    if (ended.limited && reply.status == timeout_status) {
+        return attempt_outcome::expired;
+    }
     if (reply.status == misdirected_status) {
         return attempt_outcome::misdirected;
     }
@@ -273,10 +277,12 @@
         finish_if_decided(step, exchange); // the other parts are unaffected
         return;
     }
-    const auto outcome = outcome_of(reply);
+    const auto outcome = outcome_of(ended, reply);
     log_unsuccessful_reply(step, exchange, ended, reply);
     record_attempt_outcome(step, part, id, ended, outcome);
-    if (outcome == attempt_outcome::failed) {
+    if (outcome == attempt_outcome::expired) {
+        exchange.may_have_run = true;
+    } else if (outcome == attempt_outcome::failed) {
         exchange.may_have_run = true;
         constexpr unsigned server_error = 500;
         const bool signed_by_leaf = !reply.signature.empty();
@@ -319,7 +325,8 @@
                             const leaf_reply& reply)
 {
     const bool success = is_success(reply);
-    if (success) {
+    // The latency of an expired attempt is at least the time that it took.
+    if (success || outcome_of(ended, reply) == attempt_outcome::expired) {
         record_attempt_latency(step, ended);
     }
     if (auto* leaf = find_leaf(step.pool, ended.leaf)) {
@@ -474,7 +481,8 @@
             field("after_ms",
                   to_milliseconds(step.context.now - ended.sent_at)),
             field("cause", to_string(event.cause))));
-        record_attempt_outcome(step, part, id, ended, attempt_outcome::failed);
+        record_attempt_outcome(step, part, id, ended,
+                               attempt_outcome::broke_off);
     } else {
         remove_unsent(step, part, id, ended);
         part.next_action_at = step.context.now;
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -46,6 +46,9 @@
     // together.
     duration unknown_retry_after = milliseconds{500};
     double retry_after_spread = 0.25;
+    // Share of the budget that hedges leave to retries: a hedge makes an answer
+    // faster, a retry makes it possible.
+    double retry_reserve = 0.4;
     std::size_t max_exchanges = 4096; // in progress
     limits::window_limits budget;     // of extra attempts, for each service
 };
@@ -55,7 +58,10 @@
     pending,
     refused,     // not run, as stated by the leaf
     misdirected, // not run: another server has the address
-    failed,      // may have run
+    failed,      // may have run: it was answered with a failure
+    broke_off,   // may have run: the connection ended without an answer
+    expired,     // may have run: its time at the leaf, less than the caller's
+                 // time, ran out
 };
 
 struct tried_leaf {
@@ -74,8 +80,10 @@
     std::vector<attempt_id> outstanding;
     // An attempt has been transmitted; further ones are charged to the budget.
     bool attempted = false;
-    boot_time next_action_at{};              // when a hedge or a retry is due
-    boot_time refused_at = boot_time::min(); // last refusal by a leaf
+    bool awaits_budget = false; // has waited for it, which is logged once
+    boot_time next_action_at{}; // when a hedge or a retry is due
+    std::uint32_t attempts = 0; // transmitted
+    boot_time ended_at = boot_time::min(); // last attempt without success
     leaf_reply reply;
 };
 
@@ -112,6 +120,7 @@
     connection_id connection{};
     bool sent = false;
     bool charged = false; // took an extra attempt from the budget
+    bool limited = false; // to less than the time until the answer is due
     bool awaited = true;  // false once its exchange has abandoned it
     boot_time started_at{};
     boot_time sent_at{};
--- a/libraries/limits/window_budget.cpp
+++ b/libraries/limits/window_budget.cpp
@@ -50,9 +50,12 @@
            budget.extra_attempts.total;
 }
 
-bool spend(window_budget& budget, const window_limits& limits, boot_time now)
+bool spend(window_budget& budget, const window_limits& limits, boot_time now,
+           double reserve)
 {
-    if (remaining(budget, limits, now) < 1.0) {
+    const double left = remaining(budget, limits, now);
+    const double allowed = left + budget.extra_attempts.total;
+    if (left - reserve * allowed < 1.0) {
         return false;
     }
     add(budget.extra_attempts, now, limits.window, 1);
--- a/libraries/limits/window_budget.hpp
+++ b/libraries/limits/window_budget.hpp
@@ -49,8 +49,10 @@
 double remaining(window_budget& budget, const window_limits& limits,
                  boot_time now);
 
-// Counts an extra attempt. Returns false and counts nothing if none is left.
-bool spend(window_budget& budget, const window_limits& limits, boot_time now);
+// Counts an extra attempt. Returns false and counts nothing if less than one is
+// left beyond `reserve`, a share from 0 to 1 of what the window allows.
+bool spend(window_budget& budget, const window_limits& limits, boot_time now,
+           double reserve = 0.0);
 
 // Reverses `spend` for an extra attempt that was not sent.
 void refund(window_budget& budget, const window_limits& limits, boot_time now);
--- a/tests/gateway/query_test.cpp
+++ b/tests/gateway/query_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/gateway/gateway_fixture.hpp"
 
+#include <set>
+
 namespace bulrushspring::gateway::test
 {
 
@@ -246,4 +248,56 @@
     feed(caller_disconnected{token});
 }
 
+// Load pattern: half of the leafs of many shards lose answers of requests that
+// they ran. With two leafs a shard, one part in twenty-five fails at both; the
+// query must not be answered without it, or failed, while it could be sent
+// again to one of the two.
+BOOST_FIXTURE_TEST_CASE(a_part_that_failed_at_all_its_leafs_is_sent_again,
+                        gateway_fixture)
+{
+    make_query_route(2);
+    send_request("/q/x");
+    auto sent = take<send_to_leaf>();
+    BOOST_REQUIRE_EQUAL(sent.size(), 2U);
+    reply(sent[0], "0123456789abcdef");
+    disconnect(sent[1]);
+    std::set<std::string> leafs = {sent[1].leaf};
+    for (int i = 0; i < 2; ++i) {
+        advance(milliseconds{30});
+        for (const auto& each : take<open_leaf>()) {
+            feed(leaf_connected{each.connection});
+        }
+        sent = take<send_to_leaf>();
+        BOOST_REQUIRE_EQUAL(sent.size(), 1U);
+        leafs.insert(sent[0].leaf);
+        if (i == 0) {
+            disconnect(sent[0]);
+        }
+    }
+    BOOST_TEST(leafs.size() == 2U); // the route permits two
+    reply(sent[0], "0123456789abcdef");
+    BOOST_TEST(only_answer().missing_shards == 0U);
+}
+
+// Leafs that break off every request must not use up the budget.
+BOOST_FIXTURE_TEST_CASE(a_failing_part_is_sent_a_limited_number_of_times,
+                        gateway_fixture)
+{
+    make_single_route(true, 2);
+    send_request("/s/x");
+    std::size_t attempts = 0;
+    for (int i = 0; i < 200; ++i) {
+        for (const auto& each : take<send_to_leaf>()) {
+            ++attempts;
+            disconnect(each);
+        }
+        for (const auto& each : take<open_leaf>()) {
+            feed(leaf_connected{each.connection});
+        }
+        advance(milliseconds{5});
+    }
+    BOOST_TEST(attempts == 4U);
+    BOOST_TEST((only_answer().kind == answer_kind::failed));
+}
+
 } // namespace bulrushspring::gateway::test
