gateway: Name no daemon that has begun to stop

Cause, by reading: the serving set is reviewed each 500 ms, so the directory could name a daemon for that long after its stop was heard of. Callers keep an address for three seconds and a daemon stops after four.

Change: the set is reviewed for each directory request, as the list of daemons was before. A retry that has no budget and is refused schedules nothing more, and the delay between attempts also holds if the leaf was erased.

Result: tests/gateway a_stopping_daemon_is_not_named_any_longer, red before.

--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -219,15 +219,16 @@
 void wait_for_budget(exchange_step& step, exchange& exchange,
                      request_part& part)
 {
-    if (exchange.parts.size() == 1 && !exchange.may_have_run) {
-        fail_part(exchange, part);
-    }
     if (!part.awaits_budget) {
         part.awaits_budget = true;
         step.context.log(make_record(budget_spent,
                                      field("request", exchange.request->id),
                                      field("service", part.service)));
     }
+    if (exchange.parts.size() == 1 && !exchange.may_have_run) {
+        fail_part(exchange, part);
+        return;
+    }
     part.next_action_at = step.context.now + step.state.settings.retry_delay;
 }
 
@@ -422,7 +423,9 @@
                             attempt_outcome outcome)
 {
     std::erase(part.outstanding, id);
-    part.next_action_at = std::min(part.next_action_at, step.context.now);
+    const auto now = step.context.now;
+    part.next_action_at = std::min(part.next_action_at, now);
+    part.ended_at = now;
     for (auto& each : part.tried) {
         if (each.leaf == ended.leaf) {
             each.outcome = outcome;
@@ -432,8 +435,6 @@
     if (leaf == nullptr) {
         return;
     }
-    const auto now = step.context.now;
-    part.ended_at = now;
     if (outcome == attempt_outcome::refused) {
         avoid(*leaf, now + step.pool.settings.refusal_penalty);
         step.context.count(metrics::counter::leaf_shed);
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -291,10 +291,8 @@
 
 void step(state& self, const entries_requested& event, context& context)
 {
-    // A view that is still incomplete changes with every datagram.
-    if (self.pool.fleet.recently_started) {
-        update_serving_set(self, context.now);
-    }
+    // A daemon that has begun a planned stop must not be named any longer.
+    update_serving_set(self, context.now);
     auto serving = self.serving.members;
     if (!accepts_callers(self)) {
         const auto& own = membership::self_of(self.members).name;
--- a/tests/gateway/single_test.cpp
+++ b/tests/gateway/single_test.cpp
@@ -285,4 +285,22 @@
     BOOST_TEST((calls() == std::pair<std::size_t, std::size_t>(0, 1)));
 }
 
+// Callers keep an address for seconds, so it must not be given out once the
+// daemon that has it is stopping.
+BOOST_FIXTURE_TEST_CASE(a_stopping_daemon_is_not_named_any_longer,
+                        gateway_fixture)
+{
+    make_single_route(true, 1);
+    const auto named = [&] {
+        feed(entries_requested{caller_token{1}, "kl-1"});
+        return take<answer_entries>().at(0).entries.size();
+    };
+    BOOST_TEST(named() == 2U);
+    wire::gossip news;
+    news.from = membership::view_of(state.members).members.back();
+    news.from.status = wire::member_status::leaving;
+    feed(datagram_received{news.from.peer, news});
+    BOOST_TEST(named() == 1U);
+}
+
 } // namespace bulrushspring::gateway::test
