--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -183,6 +183,33 @@
         return token;
     }
 
+    // Publishes the first route with this share of its shards required.
+    void require_coverage(double share)
+    {
+        table->routes.front().minimum_coverage = share;
+        ++table->version;
+        publish_table();
+        advance(seconds{1}, milliseconds{10});
+        effects.clear();
+    }
+
+    // The only request sent to a leaf; fails the test if there is none or more
+    // than one.
+    send_to_leaf only_sent()
+    {
+        const auto sent = take<send_to_leaf>();
+        BOOST_REQUIRE_EQUAL(sent.size(), 1U);
+        return sent[0];
+    }
+
+    // Establishes the connections that were requested.
+    void connect_requested()
+    {
+        for (const auto& each : take<open_leaf>()) {
+            feed(leaf_connected{each.connection});
+        }
+    }
+
     // Removes the effects of one kind and returns them.
     template <typename Effect>
     std::vector<Effect> take()
--- a/tests/gateway/query_test.cpp
+++ b/tests/gateway/query_test.cpp
@@ -264,9 +264,7 @@
     std::set<std::string> leafs = {sent[1].leaf};
     for (int i = 0; i < 2; ++i) {
         advance(milliseconds{30});
-        for (const auto& each : take<open_leaf>()) {
-            feed(leaf_connected{each.connection});
-        }
+        connect_requested();
         sent = take<send_to_leaf>();
         BOOST_REQUIRE_EQUAL(sent.size(), 1U);
         leafs.insert(sent[0].leaf);
@@ -291,9 +289,7 @@
             ++attempts;
             disconnect(each);
         }
-        for (const auto& each : take<open_leaf>()) {
-            feed(leaf_connected{each.connection});
-        }
+        connect_requested();
         advance(milliseconds{5});
     }
     BOOST_TEST(attempts == 4U);
