topology: Give up no record before the newest era is listed

Cause, by reading: the end of the grace after a return compared records with the era last heard of, not with the one last listed. If the store returned twice and was down after the second time, all leafs of the first return were removed.

Change: records are compared with the era of the newest listing. The three places that made the next call a listing share one function.

Ruled out: ending the grace only after the next listing (the leafs that the first copy lacks would stay as long as the store is down).

Result: tests/topology an_era_that_is_not_listed_yet_ends_no_record, red before (0 of 2 leafs left), green with it; 30 cases pass.

--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -187,10 +187,12 @@
     remove_leaf(self, key, revision, source, result, context);
 }
 
-// Whether the record was written in an earlier era and not since.
-bool is_of_earlier_era(const state& self, const wire::published_record& record)
+// Whether the record was written in an earlier era than that of the revision,
+// which a listing has, and not since.
+bool is_of_earlier_era(const wire::published_record& record,
+                       std::uint64_t listed_revision)
 {
-    return era_of(record.revision) < self.era;
+    return era_of(record.revision) < era_of(listed_revision);
 }
 
 // Removes the records that a complete listing lacks, except those published
@@ -208,7 +210,8 @@
     for (auto& [key, known] : self.records) {
         const auto& published = known.published;
         if (published.removed || published.revision > event.revision ||
-            (self.distrust_until && is_of_earlier_era(self, published)) ||
+            (self.distrust_until &&
+             is_of_earlier_era(published, event.revision)) ||
             std::binary_search(listed_keys.begin(), listed_keys.end(), key)) {
             continue;
         }
@@ -217,6 +220,13 @@
     }
 }
 
+// Makes the next call to the store a listing, and not a stale one.
+void require_listing(state& self)
+{
+    self.listed = false;
+    self.history_lost = true;
+}
+
 // Adopts a higher era of the store. The records have to be listed again, since
 // the copy may lack some and its revisions are given out again.
 void adopt_era(state& self, std::uint64_t era, context& context)
@@ -233,8 +243,7 @@
     }
     self.era = era;
     self.era_heard_at = context.now;
-    self.listed = false;
-    self.history_lost = true;
+    require_listing(self);
 }
 
 // Ends the time in which records of the copy are distrusted: removes the leafs
@@ -247,7 +256,7 @@
     for (auto& [key, known] : self.records) {
         const auto& published = known.published;
         if (!published.removed && key != self.table_key &&
-            is_of_earlier_era(self, published)) {
+            is_of_earlier_era(published, self.revision)) {
             remove_record(self, key, known, self.revision, source, result,
                           context);
         }
@@ -303,8 +312,7 @@
 void list_again(state& self, boot_time now)
 {
     self.call_in_progress = false;
-    self.listed = false;
-    self.history_lost = true;
+    require_listing(self);
     self.next_call_at = now + self.settings.watch_interval;
 }
 
@@ -439,8 +447,7 @@
     if (event.history_gone) {
         context.emit(write_log{
             make_record(history_gone, field("revision", self.revision))});
-        self.listed = false;
-        self.history_lost = true;
+        require_listing(self);
         self.next_call_at = context.now;
         return;
     }
--- a/tests/topology/era_test.cpp
+++ b/tests/topology/era_test.cpp
@@ -253,3 +253,17 @@
     receive_digest(second(10));
     BOOST_TEST(peers_follow_era(state, clock.now()));
 }
+
+// The store may return twice, and be down after the second time. What it listed
+// in between is still the newest listing.
+BOOST_FIXTURE_TEST_CASE(an_era_that_is_not_listed_yet_ends_no_record,
+                        era_fixture)
+{
+    receive_records(second(10), true,
+                    {leaf("a", second(3)), leaf("b", second(4))});
+    clock.advance(seconds{1});
+    apply(store_failed{error{}, false, 3});
+    pass_distrust();
+    BOOST_TEST(take<leaf_gone>().empty());
+    BOOST_TEST(state.leafs.size() == 2U);
+}
