topology, gateway: Use the field's terms for restores, pauses and retries

Cause, on a reread: 'comes back', 'distrust', 'the word of the copy', 'barred', 'press' and 'limited' need their author; may_repeat stood beside may_retry with nothing to tell them apart.

Change: a store is restored from a backup, records are unconfirmed during the grace time, a leaf that asks for a pause is paused, may_retry_at says for which leaf, attempt_deadline for what. Event numbers stay. Names and texts only.

Ruled out: renaming 'leaving' (the header and libraries/membership use it).

Result: test_topology, test_gateway, test_platform, test_catalogue and test_soak pass.

--- a/fakes/site/soak.cpp
+++ b/fakes/site/soak.cpp
@@ -200,11 +200,11 @@
                  [&link] { link.set_condition(link_condition::normal); });
     }
 
-    // The store comes back without what was written in the last seconds. The
+    // Restores the store without what was written in the last seconds. The
     // operator and the leafs write it again soon after.
-    void return_store_from_copy()
+    void restore_store()
     {
-        const auto lost = site.platform_store.come_back();
+        const auto lost = site.platform_store.restore_copy();
         log_fault("the store lost " + std::to_string(lost.size()) + " records");
         schedule(random_duration(milliseconds{200}, milliseconds{1500}),
                  [this, lost] { site.write_again(lost); });
@@ -223,7 +223,7 @@
     {
         const auto kind = random_index(4);
         if (kind == 3) {
-            return_store_from_copy();
+            restore_store();
             return;
         }
         log_fault("fault at the store, kind " + std::to_string(kind));
--- a/fakes/site/store.cpp
+++ b/fakes/site/store.cpp
@@ -110,7 +110,7 @@
     copied_revision_ = revision_;
 }
 
-std::vector<std::string> store::come_back()
+std::vector<std::string> store::restore_copy()
 {
     std::vector<std::string> lost;
     for (const auto& [key, item] : items_) {
--- a/fakes/site/store.hpp
+++ b/fakes/site/store.hpp
@@ -30,9 +30,9 @@
     void set_condition(store_condition condition);
     // Copies the present content.
     void save_copy();
-    // Comes back with the content of the copy, in the next era. Returns the
+    // Restores the content of the copy, in the next era. Returns the
     // keys whose present content is lost.
-    std::vector<std::string> come_back();
+    std::vector<std::string> restore_copy();
     // Sets the value of the Store-Era header, which is usually the era.
     void set_era_header(std::string value) { era_header_ = std::move(value); }
     // The number of requests received.
--- a/libraries/gateway/answers.cpp
+++ b/libraries/gateway/answers.cpp
@@ -37,10 +37,11 @@
 duration retry_after(const exchange_step& step, const exchange& exchange)
 {
     const auto& settings = step.state.settings;
-    if (exchange.available_at != boot_time::min()) {
-        const duration wait = exchange.available_at == boot_time::max()
-                                  ? settings.unknown_retry_after
-                                  : exchange.available_at - step.context.now;
+    if (exchange.unavailable_until != boot_time::min()) {
+        const duration wait =
+            exchange.unavailable_until == boot_time::max()
+                ? settings.unknown_retry_after
+                : exchange.unavailable_until - step.context.now;
         const double spread =
             settings.retry_after_spread * random_fraction(step.pool.random);
         return wait + std::chrono::duration_cast<duration>(wait * spread);
--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -12,7 +12,7 @@
 {
 
 // Attempts of a part beyond one at each leaf that the route permits.
-constexpr std::uint32_t max_repeats = 2;
+constexpr std::uint32_t max_attempts_at_tried_leafs = 2;
 
 std::uint32_t part_number(const exchange& exchange, const request_part& part)
 {
@@ -57,14 +57,15 @@
 // not run the request, or the request is idempotent and its connection ended
 // without an answer, or its time at the leaf ran out. The route limits the
 // leafs, not the attempts at one of them.
-bool may_repeat(const exchange& exchange, const request_part& part,
-                const tried_leaf& tried)
+bool may_retry_at(const exchange& exchange, const request_part& part,
+                  const tried_leaf& tried)
 {
     return tried.outcome == attempt_outcome::refused ||
            ((tried.outcome == attempt_outcome::broke_off ||
              tried.outcome == attempt_outcome::expired) &&
             exchange.route->idempotent &&
-            part.attempts < exchange.route->max_leafs + max_repeats);
+            part.attempts <
+                exchange.route->max_leafs + max_attempts_at_tried_leafs);
 }
 
 // Chooses the leaf of the next attempt: one not tried yet while the route's
@@ -89,7 +90,7 @@
     for (const auto& id : found->second) {
         const bool repeatable = std::any_of(
             part.tried.begin(), part.tried.end(), [&](const auto& each) {
-                return each.leaf == id && may_repeat(exchange, part, each);
+                return each.leaf == id && may_retry_at(exchange, part, each);
             });
         if (!repeatable) {
             excluded.push_back(id);
@@ -188,7 +189,8 @@
     if (available <= exchange.answer_by) {
         return false;
     }
-    exchange.available_at = std::max(exchange.available_at, available);
+    exchange.unavailable_until =
+        std::max(exchange.unavailable_until, available);
     step.context.log(
         make_record(part_unavailable, field("request", exchange.request->id),
                     field("service", part.service),
@@ -204,7 +206,7 @@
 {
     const bool repeatable = std::any_of(
         part.tried.begin(), part.tried.end(),
-        [&](const auto& each) { return may_repeat(exchange, part, each); });
+        [&](const auto& each) { return may_retry_at(exchange, part, each); });
     if ((leaf_limit_reached(exchange, part) && !repeatable) ||
         is_unavailable(step, exchange, part)) {
         fail_part(exchange, part);
@@ -307,7 +309,7 @@
 
 } // namespace
 
-boot_time work_deadline(const exchange& exchange, boot_time now)
+boot_time attempt_deadline(const exchange& exchange, boot_time now)
 {
     constexpr int min_objective_share = 4;
     const duration objective =
@@ -330,8 +332,8 @@
     ++part.attempts;
     ++exchange.attempts;
     step.context.count(metrics::counter::leaf_requests);
-    const auto until = work_deadline(exchange, now);
-    started.limited = until < exchange.answer_by;
+    const auto until = attempt_deadline(exchange, now);
+    started.deadline_shortened = until < exchange.answer_by;
     step.context.emit(send_to_leaf{started.connection, exchange.request,
                                    started.leaf, until - now});
 }
--- a/libraries/gateway/attempts.hpp
+++ b/libraries/gateway/attempts.hpp
@@ -38,7 +38,7 @@
 // mostly of no use once the objective has passed, and an overloaded leaf must
 // not work through a queue of such parts. A part that is still needed then is
 // sent again with all the time that is left.
-boot_time work_deadline(const exchange&, boot_time now);
+boot_time attempt_deadline(const exchange&, boot_time now);
 
 // Sends a started attempt; its connection must be open.
 void transmit(exchange_step&, exchange&, request_part&, attempt&);
--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -82,8 +82,8 @@
     8017, severity::info, "leaf_states_leaving", "leaf service",
     "A leaf has stated in an answer that it is leaving. It gets no further "
     "request, and its idle connections were closed."};
-inline constexpr event_definition leaf_barred{
-    8018, severity::info, "leaf_barred", "leaf service for_ms",
+inline constexpr event_definition leaf_paused{
+    8018, severity::info, "leaf_paused", "leaf service for_ms",
     "A leaf has refused a request and wants none for this long."};
 inline constexpr event_definition part_unavailable{
     8019, severity::warning, "part_unavailable", "request service for_ms",
@@ -95,7 +95,7 @@
     &request_refused,     &request_answered, &second_sending,   &budget_spent,
     &leaf_refused,        &leaf_broke_off,   &part_missing,     &caller_gone,
     &sending_given_up,    &leaf_unreachable, &input_refused,    &load_changed,
-    &leaf_states_leaving, &leaf_barred,      &part_unavailable,
+    &leaf_states_leaving, &leaf_paused,      &part_unavailable,
 };
 
 } // namespace bulrushspring::gateway
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -236,7 +236,7 @@
 attempt_outcome outcome_of(const attempt& ended, const leaf_reply& reply)
 {
     constexpr unsigned timeout_status = 504;
-    if (ended.limited && reply.status == timeout_status) {
+    if (ended.deadline_shortened && reply.status == timeout_status) {
         return attempt_outcome::expired;
     }
     if (reply.status == misdirected_status) {
@@ -443,7 +443,7 @@
     const attempt_id id = *found->second.attempt;
     const attempt ended = remove_attempt(step, id);
     update_leaf_statistics(step, ended, event.reply);
-    apply_statements(step.pool, event.connection, event.reply, step.context);
+    apply_leaf_state(step.pool, event.connection, event.reply, step.context);
     if (event.reusable) {
         release(step.pool, event.connection, event.reply, step.context);
     } else {
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -104,9 +104,9 @@
     boot_time objective_deadline{};
     boot_time answer_by{}; // the exchange is finished by then in any case
     boot_time deadline{};  // of the caller
-    // When the part that is available last accepts requests again, if that is
+    // Until when no leaf of one of its services accepts requests, if that is
     // too late for this exchange; boot_time::max() if no leaf is known.
-    boot_time available_at = boot_time::min();
+    boot_time unavailable_until = boot_time::min();
     boot_time timer{}; // other entries of the timer queue are obsolete
     duration expected_latency{0}; // median of the route; 0: not known yet
     duration hedge_delay{0};
@@ -120,8 +120,9 @@
     connection_id connection{};
     bool sent = false;
     bool charged = false; // took an extra attempt from the budget
-    bool limited = false; // to less than the time until the answer is due
-    bool awaited = true;  // false once its exchange has abandoned it
+    // The leaf got less time than is left until the answer is due.
+    bool deadline_shortened = false;
+    bool awaited = true; // false once its exchange has abandoned it
     boot_time started_at{};
     boot_time sent_at{};
     boot_time abandon_at{}; // when its connection is closed if abandoned
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -290,7 +290,7 @@
         leaf.latency_ratio = 1.0;
         leaf.misdirected = false;
         leaf.leaving = false;
-        leaf.barred_until = context.now;
+        leaf.paused_until = context.now;
         ++leaf.incarnations;
         leaf.failed_connections = 0;
         leaf.backoff_until = context.now;
@@ -378,10 +378,10 @@
 
 bool accepts_requests(const leaf_state& leaf, boot_time now)
 {
-    return !leaf.leaving && now >= leaf.barred_until;
+    return !leaf.leaving && now >= leaf.paused_until;
 }
 
-void apply_statements(leaf_pool& pool, connection_id id,
+void apply_leaf_state(leaf_pool& pool, connection_id id,
                       const leaf_reply& reply, context& context)
 {
     const auto& connection = pool.connections.at(raw(id));
@@ -397,10 +397,10 @@
         close_idle(pool, leaf, context);
     }
     if (reply.retry_after > duration{0}) {
-        leaf.barred_until =
-            std::max(leaf.barred_until, context.now + reply.retry_after);
+        leaf.paused_until =
+            std::max(leaf.paused_until, context.now + reply.retry_after);
         context.log(
-            make_record(leaf_barred, field("leaf", leaf.published.id),
+            make_record(leaf_paused, field("leaf", leaf.published.id),
                         field("service", leaf.published.service),
                         field("for_ms", to_milliseconds(reply.retry_after))));
     }
@@ -417,7 +417,7 @@
     for (const auto& id : found->second) {
         const auto& leaf = pool.leafs.at(id);
         if (usable(pool, leaf, now)) {
-            earliest = std::min(earliest, std::max(now, leaf.barred_until));
+            earliest = std::min(earliest, std::max(now, leaf.paused_until));
         }
     }
     return earliest;
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -83,7 +83,7 @@
     // It has stated in an answer that it is leaving.
     bool leaving = false;
     // It has stated with a refusal that it wants no request before this time.
-    boot_time barred_until{};
+    boot_time paused_until{};
     std::uint32_t incarnations = 0; // changes of its published incarnation
     // Moving average of observed over expected latency; 1 is as expected.
     double latency_ratio = 1.0;
@@ -163,7 +163,7 @@
 // Adopts what an answer on the connection states about its leaf: that it is
 // leaving, or wants no request for a time. A leaf that is leaving is not used
 // again before it is published with a new incarnation.
-void apply_statements(leaf_pool&, connection_id, const leaf_reply&, context&);
+void apply_leaf_state(leaf_pool&, connection_id, const leaf_reply&, context&);
 
 // The earliest time at which a leaf of the service may be sent a request:
 // `now` if one accepts requests, although it may be busy; boot_time::max() if
--- a/libraries/topology/era.hpp
+++ b/libraries/topology/era.hpp
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-// The store may come back from a copy that is some seconds old. What it had
+// The store may be restored from a backup that is some seconds old. What it had
 // acknowledged since is lost, its revisions are given out again, and its era
 // rises. Revisions are therefore ordered by (era, revision), packed into one
 // number: all revisions in the libraries and between daemons are such numbers.
--- a/libraries/topology/events.hpp
+++ b/libraries/topology/events.hpp
@@ -44,21 +44,21 @@
     "A peer has a higher revision than this daemon has received from the "
     "store; the missing changes are requested from the peer."};
 
-inline constexpr event_definition store_came_back{
-    9010, severity::warning, "store_came_back", "era new_era revision kept",
-    "The store came back from an older copy, as its era tells. `kept` records "
+inline constexpr event_definition store_restored{
+    9010, severity::warning, "store_restored", "era new_era revision kept",
+    "The store was restored from a backup, as its era tells. `kept` records "
     "of the earlier era stay in use until they are listed or given up; all "
     "records are read again."};
-inline constexpr event_definition leaf_distrusted{
-    9011, severity::info, "leaf_distrusted", "leaf era revision source",
-    "The copy lists a leaf as ready that was draining or removed before the "
-    "store came back. It is not used until it writes itself again or the copy "
-    "has been distrusted for long enough."};
+inline constexpr event_definition leaf_unconfirmed{
+    9011, severity::info, "leaf_unconfirmed", "leaf era revision source",
+    "The restored store lists a leaf as ready that was draining or removed "
+    "before. It is not used until it writes itself again or the grace time "
+    "after the restore has ended."};
 
 inline constexpr std::array all_events = {
-    &table_accepted, &table_refused,   &record_unreadable, &leaf_listed,
-    &leaf_removed,   &store_lost,      &store_regained,    &history_gone,
-    &peer_ahead,     &store_came_back, &leaf_distrusted,
+    &table_accepted, &table_refused,  &record_unreadable, &leaf_listed,
+    &leaf_removed,   &store_lost,     &store_regained,    &history_gone,
+    &peer_ahead,     &store_restored, &leaf_unconfirmed,
 };
 
 } // namespace bulrushspring::topology
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -33,7 +33,7 @@
 }
 
 // Whether the event reports a change that was made in the store's present era.
-// A listing may contain what the copy held when the era began.
+// A listing may contain what the backup held when the era began.
 bool is_new_write(const records_learned& event)
 {
     return event.source == "store" && !event.complete;
@@ -42,7 +42,7 @@
 void remove_leaf(state& self, const std::string& key, std::uint64_t revision,
                  std::string_view source, outcome& result, context& context)
 {
-    self.distrusted.erase(key);
+    self.unconfirmed.erase(key);
     const auto found = self.leafs.find(key);
     if (found == self.leafs.end()) {
         return;
@@ -56,14 +56,14 @@
     self.leafs.erase(found);
 }
 
-// Whether the record is the copy's word about a leaf that had departed before
-// the store came back. An incarnation never returns from draining. One that was
+// Whether the record is from the backup, and its leaf had departed before the
+// store was restored. An incarnation never returns from draining. One that was
 // removed may return if it was alive after all, and then writes itself again.
 bool is_outdated(const state& self, const std::string& key,
                  const routing::leaf& leaf, bool new_write)
 {
     const auto found = self.departed.find(key);
-    return self.distrust_until && !leaf.draining &&
+    return self.restore_grace_until && !leaf.draining &&
            found != self.departed.end() &&
            found->second.incarnation == leaf.incarnation &&
            (!new_write || self.leafs.count(key) > 0);
@@ -76,10 +76,10 @@
     const auto& key = published.key;
     if (is_outdated(self, key, leaf, is_new_write(event))) {
         context.emit(write_log{make_record(
-            leaf_distrusted, field("leaf", leaf.id), field("era", self.era),
+            leaf_unconfirmed, field("leaf", leaf.id), field("era", self.era),
             field("revision", store_revision_of(published.revision)),
             field("source", event.source))});
-        self.distrusted[key] = leaf;
+        self.unconfirmed[key] = leaf;
         return;
     }
     context.emit(write_log{make_record(
@@ -87,7 +87,7 @@
         field("address", to_string(leaf.address)),
         field("state", state_text(leaf)), field("revision", published.revision),
         field("source", event.source))});
-    self.distrusted.erase(key);
+    self.unconfirmed.erase(key);
     if (leaf.draining) {
         self.departed[key] = {leaf.incarnation, context.now};
     } else {
@@ -210,7 +210,7 @@
     for (auto& [key, known] : self.records) {
         const auto& published = known.published;
         if (published.removed || published.revision > event.revision ||
-            (self.distrust_until &&
+            (self.restore_grace_until &&
              is_of_earlier_era(published, event.revision)) ||
             std::binary_search(listed_keys.begin(), listed_keys.end(), key)) {
             continue;
@@ -228,7 +228,7 @@
 }
 
 // Adopts a higher era of the store. The records have to be listed again, since
-// the copy may lack some and its revisions are given out again.
+// the backup may lack some and its revisions are given out again.
 void adopt_era(state& self, std::uint64_t era, context& context)
 {
     if (era <= self.era) {
@@ -236,23 +236,23 @@
     }
     if (self.revision > 0) {
         context.emit(write_log{make_record(
-            store_came_back, field("era", self.era), field("new_era", era),
+            store_restored, field("era", self.era), field("new_era", era),
             field("revision", store_revision_of(self.revision)),
             field("kept", self.records.size()))});
-        context.emit(add_to_counter{metrics::counter::store_returns});
+        context.emit(add_to_counter{metrics::counter::store_restores});
     }
     self.era = era;
     self.era_heard_at = context.now;
     require_listing(self);
 }
 
-// Ends the time in which records of the copy are distrusted: removes the leafs
-// that did not write themselves again, and uses those that the store still
-// lists.
-void end_distrust(state& self, outcome& result, context& context)
+// Ends the time in which records of the backup are unconfirmed: removes the
+// leafs that did not write themselves again, and uses those that the store
+// still lists.
+void end_restore_grace(state& self, outcome& result, context& context)
 {
-    constexpr std::string_view source = "copy_distrust";
-    self.distrust_until.reset();
+    constexpr std::string_view source = "restore_grace";
+    self.restore_grace_until.reset();
     for (auto& [key, known] : self.records) {
         const auto& published = known.published;
         if (!published.removed && key != self.table_key &&
@@ -263,7 +263,7 @@
     }
     records_learned kept;
     kept.source = source;
-    const auto believed = std::exchange(self.distrusted, {});
+    const auto believed = std::exchange(self.unconfirmed, {});
     for (const auto& [key, leaf] : believed) {
         update_leaf(self, self.records[key].published, leaf, kept, result,
                     context);
@@ -400,8 +400,8 @@
         context.now >= self.peer_fetch_at) {
         request_from_peer(self, context);
     }
-    if (self.distrust_until && context.now >= *self.distrust_until) {
-        end_distrust(self, result, context);
+    if (self.restore_grace_until && context.now >= *self.restore_grace_until) {
+        end_restore_grace(self, result, context);
     }
 }
 
@@ -421,7 +421,7 @@
         return;
     }
     if (self.revision > 0 && era > era_of(self.revision)) {
-        self.distrust_until = context.now + self.settings.copy_distrust;
+        self.restore_grace_until = context.now + self.settings.restore_grace;
     }
     for (const auto& each : event.records) {
         apply_record(self, each, event, result, context);
@@ -544,8 +544,8 @@
     if (self.peer_revision > self.revision && !self.peer_exchange) {
         next = std::min(next, self.peer_fetch_at);
     }
-    if (self.distrust_until) {
-        next = std::min(next, *self.distrust_until);
+    if (self.restore_grace_until) {
+        next = std::min(next, *self.restore_grace_until);
     }
     return next;
 }
--- a/libraries/topology/topology.hpp
+++ b/libraries/topology/topology.hpp
@@ -99,11 +99,11 @@
     // How long a removed record is kept, so that an older version of it from a
     // peer is not taken for a new record.
     duration removal_retention = seconds{60};
-    // After the store has come back from a copy, leafs write their records
-    // again within about two seconds. For this long, records that the copy
-    // lacks are kept, and a leaf that was draining or removed before is not
-    // used again on the word of the copy.
-    duration copy_distrust = seconds{5};
+    // After the store has been restored from a backup, leafs write their
+    // records again within about two seconds. For this long, records that the
+    // backup lacks are kept, and a leaf that was draining or removed before is
+    // not used again because the backup lists it.
+    duration restore_grace = seconds{5};
     // A daemon that has heard of no peer in the store's era for this long reads
     // the store itself.
     duration era_timeout = seconds{4};
@@ -139,12 +139,12 @@
     std::uint64_t era = 0;
     // When a peer last reported a revision of this era.
     boot_time era_heard_at = boot_time::min();
-    // Until then, the records of the copy that began the era are distrusted;
-    // see options::copy_distrust.
-    std::optional<boot_time> distrust_until;
+    // Until then, the records of the backup that began the era are unconfirmed;
+    // see options::restore_grace.
+    std::optional<boot_time> restore_grace_until;
     std::map<std::string, departed_leaf> departed; // by record key
-    // Leafs that the copy lists as ready although they had departed; by key.
-    std::map<std::string, routing::leaf> distrusted;
+    // Leafs that the backup lists as ready although they had departed; by key.
+    std::map<std::string, routing::leaf> unconfirmed;
     // Requests to the store.
     store_role role = store_role::none;
     bool call_in_progress = false;
--- a/tests/gateway/overload_test.cpp
+++ b/tests/gateway/overload_test.cpp
@@ -92,7 +92,7 @@
     }
 
     // One query each `interval`.
-    void press(duration interval, duration span)
+    void send_queries(duration interval, duration span)
     {
         const auto end = clock.now() + span;
         auto next = clock.now();
@@ -123,9 +123,9 @@
     // Two leafs a shard, 100 queries a second.
     leafs.work["s0"] = milliseconds{30};
     leafs.work["s1"] = milliseconds{30};
-    press(milliseconds{10}, seconds{4});
+    send_queries(milliseconds{10}, seconds{4});
     in_time = late = unserved = 0;
-    press(milliseconds{10}, seconds{10});
+    send_queries(milliseconds{10}, seconds{10});
     const double all = static_cast<double>(in_time + late + unserved);
     BOOST_TEST_MESSAGE(in_time << " in time, " << late << " late, " << unserved
                                << " unserved, " << leafs.arrivals
@@ -137,9 +137,9 @@
     BOOST_TEST(static_cast<double>(in_time + late) >= 0.95 * all);
     // It recovers within 3 s.
     leafs.work.clear();
-    press(milliseconds{10}, seconds{3});
+    send_queries(milliseconds{10}, seconds{3});
     in_time = late = unserved = 0;
-    press(milliseconds{10}, seconds{3});
+    send_queries(milliseconds{10}, seconds{3});
     BOOST_TEST(in_time >= 285U);
 }
 
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -100,7 +100,7 @@
     store.save_copy();
     store.put("servers/a", "{}");
     const auto before = read_all_records(base.get(), address, false);
-    BOOST_TEST(store.come_back().size() == 1U);
+    BOOST_TEST(store.restore_copy().size() == 1U);
     const auto after = read_all_records(base.get(), address, false);
     BOOST_TEST(after.revision > before.revision);
     BOOST_TEST(topology::era_of(after.revision) ==
--- a/tests/topology/era_test.cpp
+++ b/tests/topology/era_test.cpp
@@ -29,9 +29,9 @@
         return made;
     }
 
-    void pass_distrust()
+    void pass_restore_grace()
     {
-        clock.advance(state.settings.copy_distrust);
+        clock.advance(state.settings.restore_grace);
         apply(tick{});
     }
 
@@ -52,7 +52,7 @@
 
 } // namespace
 
-// Revisions of the new era count from the copy's, below those known here.
+// Revisions of the new era count from the backup's, below those known here.
 BOOST_FIXTURE_TEST_CASE(changes_of_a_new_era_apply_despite_lower_revisions,
                         era_fixture)
 {
@@ -99,19 +99,19 @@
     BOOST_TEST(std::holds_alternative<read_all>(calls[0]));
 }
 
-// A leaf that registered after the copy was made is alive and writes itself
+// A leaf that registered after the backup was made is alive and writes itself
 // again; until then it stays in use.
-BOOST_FIXTURE_TEST_CASE(a_leaf_that_the_copy_lacks_stays_until_it_is_overdue,
+BOOST_FIXTURE_TEST_CASE(a_leaf_that_the_backup_lacks_stays_until_it_is_overdue,
                         era_fixture)
 {
     receive_records(second(10), true, {leaf("a", second(3))});
     BOOST_TEST(take<leaf_gone>().empty());
     receive_records(second(12), false, {leaf("b", second(12))});
-    pass_distrust();
+    pass_restore_grace();
     BOOST_TEST(take<leaf_gone>().empty());
     receive_records(revision_in_era(3, 10), true,
                     {leaf("a", revision_in_era(3, 3))});
-    pass_distrust();
+    pass_restore_grace();
     const auto gone = take<leaf_gone>();
     BOOST_REQUIRE_EQUAL(gone.size(), 1U);
     BOOST_TEST(gone[0].id == "b");
@@ -122,13 +122,13 @@
                         era_fixture)
 {
     apply(store_failed{error{}, false, 2});
-    pass_distrust();
-    pass_distrust();
+    pass_restore_grace();
+    pass_restore_grace();
     BOOST_TEST(take<leaf_gone>().empty());
     BOOST_TEST(state.leafs.size() == 2U);
 }
 
-BOOST_FIXTURE_TEST_CASE(a_draining_leaf_is_not_used_on_the_word_of_the_copy,
+BOOST_FIXTURE_TEST_CASE(a_draining_leaf_is_not_used_because_the_backup_lists_it,
                         era_fixture)
 {
     receive_records(21, false, {draining("a", 21)});
@@ -140,13 +140,13 @@
     }
     // It writes itself again.
     receive_records(second(12), false, {draining("a", second(12))});
-    pass_distrust();
+    pass_restore_grace();
     for (const auto& each : take<leaf_changed>()) {
         BOOST_TEST((each.leaf.id != "a" || each.leaf.draining));
     }
 }
 
-BOOST_FIXTURE_TEST_CASE(a_removed_leaf_is_not_used_on_the_word_of_the_copy,
+BOOST_FIXTURE_TEST_CASE(a_removed_leaf_is_not_used_because_the_backup_lists_it,
                         era_fixture)
 {
     receive_records(21, false, {leaf("a", 21, true)});
@@ -156,7 +156,7 @@
     BOOST_TEST(state.leafs.count("leaf/a") == 0U);
     // It is gone, so that its record expires.
     receive_records(second(12), false, {leaf("a", second(12), true)});
-    pass_distrust();
+    pass_restore_grace();
     BOOST_TEST(state.leafs.count("leaf/a") == 0U);
 }
 
@@ -179,17 +179,18 @@
     BOOST_TEST(state.leafs.count("leaf/a") == 1U);
 }
 
-BOOST_FIXTURE_TEST_CASE(the_word_of_the_store_holds_after_a_time, era_fixture)
+BOOST_FIXTURE_TEST_CASE(the_store_is_believed_after_the_grace_time, era_fixture)
 {
     receive_records(21, false, {leaf("a", 21, true)});
     receive_records(second(10), true, {leaf("a", second(3))});
     BOOST_TEST(state.leafs.count("leaf/a") == 0U);
-    pass_distrust();
+    pass_restore_grace();
     BOOST_TEST(state.leafs.count("leaf/a") == 1U);
 }
 
-// A daemon that starts after the return has only the copy and its peers.
-BOOST_FIXTURE_TEST_CASE(peers_learn_the_table_that_the_copy_lacks, era_fixture)
+// A daemon that starts after the restore has only the backup and its peers.
+BOOST_FIXTURE_TEST_CASE(peers_learn_the_table_that_the_backup_lacks,
+                        era_fixture)
 {
     receive_records(second(10), true,
                     {leaf("a", second(3)), table(5, second(8))});
@@ -220,22 +221,22 @@
     receive_records(second(10), false, {leaf("c", second(9))}, "peer");
     BOOST_TEST(state.leafs.count("leaf/c") == 1U);
     BOOST_TEST(state.era == 2U);
-    pass_distrust();
+    pass_restore_grace();
     BOOST_TEST(state.leafs.size() == 1U);
 }
 
-BOOST_FIXTURE_TEST_CASE(two_returns_in_a_row_are_followed, era_fixture)
+BOOST_FIXTURE_TEST_CASE(two_restores_in_a_row_are_followed, era_fixture)
 {
     receive_records(second(10), true, {leaf("a", second(3))});
     clock.advance(seconds{2});
     receive_records(revision_in_era(4, 9), true,
                     {leaf("a", revision_in_era(4, 3))});
-    clock.advance(seconds{4}); // the distrust of the first return has ended
+    clock.advance(seconds{4}); // the grace time of the first restore has ended
     apply(tick{});
     BOOST_TEST(state.leafs.count("leaf/b") == 1U);
     receive_records(revision_in_era(4, 12), false,
                     {leaf("b", revision_in_era(4, 12))});
-    pass_distrust();
+    pass_restore_grace();
     BOOST_TEST(state.leafs.count("leaf/b") == 1U);
 }
 
@@ -254,8 +255,8 @@
     BOOST_TEST(peers_follow_era(state, clock.now()));
 }
 
-// The store may return twice, and be down after the second time. What it listed
-// in between is still the newest listing.
+// The store may be restored twice, and be down after the second time. What it
+// listed in between is still the newest listing.
 BOOST_FIXTURE_TEST_CASE(an_era_that_is_not_listed_yet_ends_no_record,
                         era_fixture)
 {
@@ -263,7 +264,7 @@
                     {leaf("a", second(3)), leaf("b", second(4))});
     clock.advance(seconds{1});
     apply(store_failed{error{}, false, 3});
-    pass_distrust();
+    pass_restore_grace();
     BOOST_TEST(take<leaf_gone>().empty());
     BOOST_TEST(state.leafs.size() == 2U);
 }
