topology, gateway: Split the files that had grown too long

Ruled out: one notion of 'large' and 'serves'. Connections and budgets are still divided between large and small daemons, since a set that grows for a moment would let two divisions of one budget hold at once (docs/design/gateway.md).

--- /dev/null
+++ b/libraries/topology/records.hpp
@@ -0,0 +1,33 @@
+#ifndef BULRUSHSPRING_LIBRARIES_TOPOLOGY_RECORDS_HPP
+#define BULRUSHSPRING_LIBRARIES_TOPOLOGY_RECORDS_HPP
+
+#include "libraries/topology/topology.hpp"
+
+// Changes to the known records, and to the leafs and the table that they hold.
+// Internal to topology.cpp.
+namespace bulrushspring::topology
+{
+
+// Adopts a record if its revision is higher than that of the known one.
+void apply_record(state&, const learned_record&, const records_learned&,
+                  outcome&, context&);
+
+// Removes the records that a complete listing lacks, except those published
+// after the listing was made, and those that the store may have lost and that
+// may still be written again.
+void remove_unlisted(state&, const records_learned&, outcome&, context&);
+
+// Ends the time in which records of the backup are unconfirmed: removes the
+// leafs that did not write themselves again, and uses those that the store
+// still lists.
+void end_restore_grace(state&, outcome&, context&);
+
+// Forgets removals, and departed leafs, after their retention.
+void purge_removals(state&, boot_time now);
+
+// The records that a peer lacks which knows all changes up to `after`.
+wire::records_reply records_after(const state&, std::uint64_t after);
+
+} // namespace bulrushspring::topology
+
+#endif
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -1,6 +1,7 @@
 #include "libraries/topology/topology.hpp"
 
 #include "libraries/topology/events.hpp"
+#include "libraries/topology/records.hpp"
 
 #include <algorithm>
 
@@ -27,199 +28,6 @@
     return std::chrono::duration_cast<duration>(longest * jitter);
 }
 
-std::string_view state_text(const routing::leaf& leaf)
-{
-    return leaf.draining ? "draining" : "ready";
-}
-
-// Whether the event reports a change that was made in the store's present era.
-// A listing may contain what the backup held when the era began.
-bool is_new_write(const records_learned& event)
-{
-    return event.source == "store" && !event.complete;
-}
-
-void remove_leaf(state& self, const std::string& key, std::uint64_t revision,
-                 std::string_view source, outcome& result, context& context)
-{
-    self.unconfirmed.erase(key);
-    const auto found = self.leafs.find(key);
-    if (found == self.leafs.end()) {
-        return;
-    }
-    const auto& leaf = found->second;
-    context.emit(write_log{make_record(leaf_removed, field("leaf", leaf.id),
-                                       field("revision", revision),
-                                       field("source", source))});
-    self.departed[key] = {leaf.incarnation, context.now};
-    result.changes.emplace_back(leaf_gone{leaf.id});
-    self.leafs.erase(found);
-}
-
-// Whether the record is from the backup, and its leaf had departed before the
-// store was restored. An incarnation never returns from draining. One that was
-// removed may return if it was alive after all, and then writes itself again.
-bool is_outdated(const state& self, const std::string& key,
-                 const routing::leaf& leaf, bool new_write)
-{
-    const auto found = self.departed.find(key);
-    return self.restore_grace_until && !leaf.draining &&
-           found != self.departed.end() &&
-           found->second.incarnation == leaf.incarnation &&
-           (!new_write || self.leafs.count(key) > 0);
-}
-
-void update_leaf(state& self, const wire::published_record& published,
-                 const routing::leaf& leaf, const records_learned& event,
-                 outcome& result, context& context)
-{
-    const auto& key = published.key;
-    if (is_outdated(self, key, leaf, is_new_write(event))) {
-        context.emit(write_log{make_record(
-            leaf_unconfirmed, field("leaf", leaf.id), field("era", self.era),
-            field("revision", store_revision_of(published.revision)),
-            field("source", event.source))});
-        self.unconfirmed[key] = leaf;
-        return;
-    }
-    context.emit(write_log{make_record(
-        leaf_listed, field("leaf", leaf.id), field("service", leaf.service),
-        field("address", to_string(leaf.address)),
-        field("state", state_text(leaf)), field("revision", published.revision),
-        field("source", event.source))});
-    self.unconfirmed.erase(key);
-    if (leaf.draining) {
-        self.departed[key] = {leaf.incarnation, context.now};
-    } else {
-        self.departed.erase(key);
-    }
-    self.leafs[key] = leaf;
-    result.changes.emplace_back(leaf_changed{leaf});
-}
-
-void update_table(state& self, const wire::published_record& published,
-                  const routing::table_pointer& table,
-                  const std::string& source, outcome& result, context& context)
-{
-    if (self.table && table->version <= self.table->version) {
-        context.emit(write_log{make_record(
-            table_refused, field("version", table->version),
-            field("in_force", self.table->version),
-            field("revision", published.revision), field("source", source))});
-        return;
-    }
-    self.table = table;
-    self.table_key = published.key;
-    context.emit(write_log{make_record(
-        table_accepted, field("version", table->version),
-        field("routes", table->routes.size()),
-        field("services", table->services.size()),
-        field("revision", published.revision), field("source", source))});
-    result.changes.emplace_back(table_changed{table});
-}
-
-void apply_content(state& self, const learned_record& learned,
-                   const records_learned& event, outcome& result,
-                   context& context)
-{
-    const auto& published = learned.published;
-    if (const auto* leaf = std::get_if<routing::leaf>(&learned.content)) {
-        update_leaf(self, published, *leaf, event, result, context);
-    } else if (const auto* table =
-                   std::get_if<routing::table_pointer>(&learned.content)) {
-        update_table(self, published, *table, event.source, result, context);
-    } else {
-        context.emit(write_log{make_record(
-            record_unreadable, field("key", published.key),
-            field("revision", published.revision),
-            field("source", event.source),
-            field("reason", std::get<unreadable>(learned.content).reason))});
-        remove_leaf(self, published.key, published.revision, event.source,
-                    result, context);
-    }
-}
-
-// Whether the record is that of the routing table and holds none that is newer
-// than the one in use.
-bool keeps_table(const state& self, const learned_record& learned)
-{
-    if (!self.table || learned.published.key != self.table_key) {
-        return false;
-    }
-    const auto* table = std::get_if<routing::table_pointer>(&learned.content);
-    return learned.published.removed || table == nullptr ||
-           (*table)->version <= self.table->version;
-}
-
-void apply_record(state& self, const learned_record& learned,
-                  const records_learned& event, outcome& result,
-                  context& context)
-{
-    const auto& published = learned.published;
-    auto& known = self.records[published.key];
-    if (published.revision <= known.published.revision) {
-        return;
-    }
-    if (keeps_table(self, learned)) {
-        // Peers must learn the table in use, not the older one.
-        known.published.revision = published.revision;
-    } else {
-        known.published = published;
-    }
-    known.removed_at = context.now;
-    if (published.removed) {
-        remove_leaf(self, published.key, published.revision, event.source,
-                    result, context);
-    } else {
-        apply_content(self, learned, event, result, context);
-    }
-}
-
-void remove_record(state& self, const std::string& key, known_record& known,
-                   std::uint64_t revision, std::string_view source,
-                   outcome& result, context& context)
-{
-    auto& published = known.published;
-    published.removed = true;
-    published.revision = revision;
-    published.content.clear();
-    known.removed_at = context.now;
-    remove_leaf(self, key, revision, source, result, context);
-}
-
-// Whether the record was written in an earlier era than that of the revision,
-// which a listing has, and not since.
-bool is_of_earlier_era(const wire::published_record& record,
-                       std::uint64_t listed_revision)
-{
-    return era_of(record.revision) < era_of(listed_revision);
-}
-
-// Removes the records that a complete listing lacks, except those published
-// after the listing was made, and those that the store may have lost and that
-// may still be written again.
-void remove_unlisted(state& self, const records_learned& event, outcome& result,
-                     context& context)
-{
-    std::vector<std::string> listed_keys;
-    listed_keys.reserve(event.records.size());
-    for (const auto& each : event.records) {
-        listed_keys.push_back(each.published.key);
-    }
-    std::sort(listed_keys.begin(), listed_keys.end());
-    for (auto& [key, known] : self.records) {
-        const auto& published = known.published;
-        if (published.removed || published.revision > event.revision ||
-            (self.restore_grace_until &&
-             is_of_earlier_era(published, event.revision)) ||
-            std::binary_search(listed_keys.begin(), listed_keys.end(), key)) {
-            continue;
-        }
-        remove_record(self, key, known, event.revision, event.source, result,
-                      context);
-    }
-}
-
 // Makes the next call to the store a listing, and not a stale one.
 void require_listing(state& self)
 {
@@ -246,49 +54,6 @@
     require_listing(self);
 }
 
-// Ends the time in which records of the backup are unconfirmed: removes the
-// leafs that did not write themselves again, and uses those that the store
-// still lists.
-void end_restore_grace(state& self, outcome& result, context& context)
-{
-    constexpr std::string_view source = "restore_grace";
-    self.restore_grace_until.reset();
-    for (auto& [key, known] : self.records) {
-        const auto& published = known.published;
-        if (!published.removed && key != self.table_key &&
-            is_of_earlier_era(published, self.revision)) {
-            remove_record(self, key, known, self.revision, source, result,
-                          context);
-        }
-    }
-    records_learned kept;
-    kept.source = source;
-    const auto believed = std::exchange(self.unconfirmed, {});
-    for (const auto& [key, leaf] : believed) {
-        update_leaf(self, self.records[key].published, leaf, kept, result,
-                    context);
-    }
-}
-
-void purge_removals(state& self, boot_time now)
-{
-    for (auto it = self.records.begin(); it != self.records.end();) {
-        const auto& published = it->second.published;
-        if (published.removed &&
-            now - it->second.removed_at > self.settings.removal_retention) {
-            self.forgotten_revision =
-                std::max(self.forgotten_revision, published.revision);
-            it = self.records.erase(it);
-        } else {
-            ++it;
-        }
-    }
-    std::erase_if(self.departed, [&](const auto& each) {
-        return self.leafs.count(each.first) == 0 &&
-               now - each.second.departed_at > self.settings.removal_retention;
-    });
-}
-
 void handle_store_answer(state& self, context& context)
 {
     if (self.failures > 0) {
@@ -364,20 +129,6 @@
     }
 }
 
-wire::records_reply records_after(const state& self, std::uint64_t after)
-{
-    wire::records_reply reply;
-    reply.revision = self.revision;
-    reply.complete = after < self.forgotten_revision || after == 0;
-    for (const auto& [key, known] : self.records) {
-        const auto& published = known.published;
-        if (reply.complete ? !published.removed : published.revision > after) {
-            reply.records.push_back(published);
-        }
-    }
-    return reply;
-}
-
 } // namespace
 
 state make_state(const options& settings, std::uint64_t seed, boot_time now)
