--- a/libraries/metrics/names.hpp
+++ b/libraries/metrics/names.hpp
@@ -60,7 +60,7 @@
         "input_rejected_total",      "peer_requests_total",
         "peer_bytes_sent_total",     "peer_bytes_received_total",
         "platform_reads_total",      "platform_failures_total",
-        "store_restores_total",       "manifests_accepted_total",
+        "store_restores_total",      "manifests_accepted_total",
         "manifests_refused_total",
 };
 
