gateway: Answer a query without shards that are unreachable

Single requests to such a service wait until their deadline. Ruled out: slow leafs (508 of 520 missing parts are of the one service, none was sent). Change: a part that was not sent is waited for only if a leaf of its service may be reached within the objective: one with an established connection, or whose backoff ends before and whose last two connects have not both failed. A part whose leafs are all in backoff until the answer is due fails at once, before anything is sent, so a query without coverage and a single request are refused as not run, with the time of the next connect. A leaf that is published anew loses the failed opens of its earlier incarnation.

--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -364,6 +364,28 @@
     }
 }
 
+void fail_unavailable_parts(exchange_step& step, exchange& exchange)
+{
+    for (auto& part : exchange.parts) {
+        if (part.phase == part_phase::open &&
+            is_unavailable(step, exchange, part)) {
+            fail_part(exchange, part);
+        }
+    }
+}
+
+bool may_be_in_time(const exchange_step& step, const exchange& exchange,
+                    const request_part& part)
+{
+    const auto now = step.context.now;
+    const bool sent = std::any_of(
+        part.outstanding.begin(), part.outstanding.end(),
+        [&](auto id) { return step.state.attempts.at(raw(id)).sent; });
+    return sent || (!is_unreachable(step.pool, part.service, now) &&
+                    available_at(step.pool, part.service, now) <
+                        exchange.objective_deadline);
+}
+
 void abandon_part_attempts(exchange_step& step, exchange& exchange,
                            request_part& part, bool caller_disconnected)
 {
--- a/libraries/gateway/connection_quota.cpp
+++ b/libraries/gateway/connection_quota.cpp
@@ -34,7 +34,6 @@
 bool is_unhealthy(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
 {
     constexpr std::uint32_t max_unanswered_hedges = 2;
-    constexpr std::uint32_t max_failed_opens = 2;
     constexpr double max_latency_ratio = 3.0;
     constexpr double max_refusal_rate = 0.5;
     return leaf.failed_opens >= max_failed_opens ||
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -67,6 +67,17 @@
     }
 }
 
+// Whether the exchange has to wait for one of its open parts. Shards that are
+// known not to answer within the objective only delay the others' answer.
+bool awaits_part(const exchange_step& step, const exchange& exchange)
+{
+    return std::any_of(exchange.parts.begin(), exchange.parts.end(),
+                       [&](const request_part& part) {
+                           return part.phase == part_phase::open &&
+                                  may_be_in_time(step, exchange, part);
+                       });
+}
+
 // Finishes the exchange if its answer is decided. It is erased then.
 void finish_if_decided(exchange_step& step, exchange& exchange)
 {
@@ -76,8 +87,8 @@
         exchange.covered + exchange.failed == exchange.parts.size();
     const bool due =
         now >= exchange.objective_deadline || now >= exchange.answer_by;
-    if (all_covered ||
-        (reaches_minimum_coverage(exchange) && (none_open || due))) {
+    if (all_covered || (reaches_minimum_coverage(exchange) &&
+                        (none_open || due || !awaits_part(step, exchange)))) {
         finish(step, exchange, covered_answer(exchange));
     } else if (none_open || coverage_out_of_reach(exchange) ||
                now >= exchange.answer_by) {
@@ -317,7 +328,12 @@
     for (const auto& service : route.shards) {
         add_part(step, exchange, service);
     }
-    advance(step, exchange);
+    // Decided before anything is sent, so that the refusal can say so.
+    fail_unavailable_parts(step, exchange);
+    finish_if_decided(step, exchange);
+    if (in_progress(step, token)) {
+        advance(step, exchange);
+    }
 }
 
 void reduce(exchange_step& step, const caller_disconnected& event)
@@ -346,6 +362,7 @@
     connection.since = step.context.now;
     --step.pool.opening;
     auto& leaf = step.pool.leafs.at(connection.leaf);
+    ++leaf.established;
     leaf.failed_opens = 0;
     if (!connection.attempt) {
         leaf.idle.push_back(event.connection);
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -166,6 +166,8 @@
         leaf.paused_until = context.now;
         ++leaf.incarnations;
         leaf.failed_connections = 0;
+        leaf.failed_opens = 0;
+        leaf.unanswered_hedges = 0;
         leaf.backoff_until = context.now;
     }
     if (added) {
@@ -289,13 +291,31 @@
     }
     for (const auto& id : found->second) {
         const auto& leaf = pool.leafs.at(id);
-        if (usable(pool, leaf, now)) {
-            earliest = std::min(earliest, std::max(now, leaf.paused_until));
+        if (!usable(pool, leaf, now)) {
+            continue;
         }
+        const auto connects_at =
+            leaf.established > 0 ? now : leaf.backoff_until;
+        earliest =
+            std::min(earliest, std::max({now, leaf.paused_until, connects_at}));
     }
     return earliest;
 }
 
+bool is_unreachable(const leaf_pool& pool, const std::string& service,
+                    boot_time now)
+{
+    const auto found = pool.by_service.find(service);
+    return found == pool.by_service.end() ||
+           std::none_of(found->second.begin(), found->second.end(),
+                        [&](const auto& id) {
+                            const auto& leaf = pool.leafs.at(id);
+                            return usable(pool, leaf, now) &&
+                                   (leaf.established > 0 ||
+                                    leaf.failed_opens < max_failed_opens);
+                        });
+}
+
 void release(leaf_pool& pool, connection_id id, const leaf_reply& reply,
              context& context)
 {
@@ -320,7 +340,9 @@
         return;
     }
     auto& leaf = pool.leafs.at(found->second.leaf);
-    if (!found->second.open) {
+    if (found->second.open) {
+        --leaf.established;
+    } else {
         --pool.opening;
         leaf.failed_opens += failed ? 1 : 0;
     }
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -15,6 +15,9 @@
 namespace bulrushspring::gateway
 {
 
+// Failed opens in a row from which on a leaf is taken to be unreachable.
+inline constexpr std::uint32_t max_failed_opens = 2;
+
 // Identifies one attempt: one request that is sent to one leaf.
 enum class attempt_id : std::uint64_t {};
 
@@ -103,6 +106,7 @@
     boot_time preconnect_after{};    // none is opened in advance before
     std::vector<connection_id> idle; // the most recently used at the back
     std::uint32_t connections = 0;   // opening, idle and busy
+    std::uint32_t established = 0;   // of those, idle and busy
     boot_time cold_until{};
     // Rendezvous hash of the daemon and the leaf: selects the daemons that
     // connect to a leaf with fewer connections than daemons.
@@ -166,11 +170,17 @@
 void apply_leaf_state(leaf_pool&, connection_id, const leaf_reply&, context&);
 
 // The earliest time at which a leaf of the service may be sent a request:
-// `now` if one accepts requests, although it may be busy; boot_time::max() if
-// there is no leaf that can be used.
+// `now` if one accepts requests, although it may be busy; the end of the
+// backoff for a leaf without a connection; boot_time::max() if there is no
+// leaf that can be used.
 boot_time available_at(const leaf_pool&, const std::string& service,
                        boot_time now);
 
+// Whether the service has no leaf to which a connection is or has lately been
+// established, so that no answer is to be expected while connects go on.
+bool is_unreachable(const leaf_pool&, const std::string& service,
+                    boot_time now);
+
 // Returns a connection that has been answered to the idle ones.
 void release(leaf_pool&, connection_id, const leaf_reply&, context&);
 
