experiment: Play load patterns on a model of the fleet

Change: bulrushspring-experiment plays patterns, which are checked INI files, on the real reducers of up to 30 daemons under one simulated clock. Leafs have slots, queues, speeds, connection limits and deadlines; callers send queries at random. Reports as text, CSV and JSON with the deviation over seeds; two saved reports are compared, and a difference is marked if it exceeds twice its standard error. Ruled out: a model of the daemons' decisions, which would have to be kept like them. Not modelled yet: callers that repeat, single requests, pauses of leafs, delays by a busy processor, requests between daemons. No plots yet.

--- /dev/null
+++ b/fakes/experiment/pattern.hpp
@@ -0,0 +1,59 @@
+#ifndef BULRUSHSPRING_FAKES_EXPERIMENT_PATTERN_HPP
+#define BULRUSHSPRING_FAKES_EXPERIMENT_PATTERN_HPP
+
+#include "base/time.hpp"
+#include "libraries/manifest/fault.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+// Load patterns: a fleet, its load and the faults of its leafs, to be played on
+// a model. docs/EXPERIMENTS.md describes the file format.
+namespace bulrushspring::experiment
+{
+
+enum class fault_kind : std::uint8_t {
+    slow, // the leafs' work takes `factor` times as long
+    down, // they refuse connections, and lose the requests that they have
+};
+
+// A fault of the first `leafs` leafs of the shards from `first_shard` on.
+struct leaf_fault {
+    fault_kind kind = fault_kind::slow;
+    std::size_t first_shard = 0;
+    std::size_t shards = 1;
+    std::size_t leafs = 1;
+    double factor = 1.0;
+    duration from{0}; // since the start of the pattern
+    duration span{0};
+};
+
+// Everything that determines a run, except for its random seed.
+struct pattern {
+    std::size_t daemons = 1;
+    std::size_t shards = 1;
+    std::size_t leafs = 1; // of each shard
+    // A leaf works on as many requests at a time as it has slots, queues
+    // `queue` more in order of arrival and refuses the others.
+    std::size_t slots = 1;
+    std::size_t queue = 0;
+    std::uint32_t connections = 1; // per leaf, over all daemons
+    duration work{0};              // mean time of one request at a leaf
+    duration objective{0};
+    duration timeout{0};
+    double minimum_coverage = 1.0;
+    std::uint32_t max_leafs = 1;
+    double extra_share = 0.0; // budget: extra attempts per first attempt
+    double queries_per_second = 0.0;
+    duration warm_up{0}; // not measured
+    duration span{0};    // measured
+    std::vector<leaf_fault> faults;
+};
+
+// Parses the content of a pattern file. On failure returns all errors.
+manifest::checked<pattern> parse_pattern(std::string_view content);
+
+} // namespace bulrushspring::experiment
+
+#endif
--- /dev/null
+++ b/tests/experiment/experiment_test.cpp
@@ -0,0 +1,91 @@
+#include "fakes/experiment/report.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace bulrushspring::experiment::test
+{
+
+namespace
+{
+
+std::string read_file(const std::filesystem::path& path)
+{
+    std::ostringstream content;
+    content << std::ifstream(path).rdbuf();
+    return content.str();
+}
+
+pattern example(const std::string& name)
+{
+    const auto path = std::filesystem::path(BULRUSHSPRING_SOURCE_FOLDER
+                                            "/examples/patterns") /
+                      (name + ".ini");
+    return parse_pattern(read_file(path)).value();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(all_example_patterns_are_valid)
+{
+    for (const auto& each : std::filesystem::directory_iterator(
+             BULRUSHSPRING_SOURCE_FOLDER "/examples/patterns")) {
+        BOOST_TEST(!parse_pattern(read_file(each.path())).has_error(),
+                   each.path().string());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(all_errors_of_a_pattern_are_reported)
+{
+    const auto parsed = parse_pattern(
+        "[fleet]\ndaemons = 31\n[route]\nobjective = 5\n[fault x]\nkind = odd\n"
+        "[other]\nkey = 1\n");
+    BOOST_REQUIRE(parsed.has_error());
+    std::string all;
+    for (const auto& each : parsed.error()) {
+        all += to_string(each) + '\n';
+    }
+    for (const char* expected :
+         {"daemons: out of range", "objective: ", "kind", "other", "load"}) {
+        BOOST_TEST(all.find(expected) != std::string::npos,
+                   expected << " is missing from " << all);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_seed_determines_the_result)
+{
+    const auto plan = example("shard-down");
+    const auto first = play(plan, 7);
+    BOOST_TEST(first.latencies == play(plan, 7).latencies);
+    BOOST_TEST(first.latencies != play(plan, 8).latencies);
+}
+
+// Goodput is to be at least 0.95 of the capacity, which is that of all queries
+// in these patterns, and extra attempts stay within the budget.
+BOOST_AUTO_TEST_CASE(queries_are_served_in_time_without_a_shard)
+{
+    for (const char* name : {"shard-down", "stragglers"}) {
+        const auto plan = example(name);
+        const auto sum = total(play(plan, 1));
+        BOOST_TEST(static_cast<double>(sum.in_time) >=
+                   0.95 * static_cast<double>(sum.asked));
+        BOOST_TEST(static_cast<double>(sum.leaf_requests) <=
+                   (1.0 + plan.extra_share) * static_cast<double>(sum.parts));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_saved_report_can_be_compared)
+{
+    const std::vector<run_result> runs = {play(example("shard-down"), 1),
+                                          play(example("shard-down"), 2)};
+    const std::vector<summary> made = {summarize("shard-down", runs)};
+    const auto saved = parse_summaries(as_json(made).dump()).value();
+    BOOST_TEST(as_csv(saved) == as_csv(made));
+    BOOST_TEST(compare(made, saved).find('*') == std::string::npos);
+    BOOST_TEST(parse_summaries("[{}]").has_error());
+    BOOST_TEST(parse_summaries("nothing").has_error());
+}
+
+} // namespace bulrushspring::experiment::test
