gateway: Pace leafs that refuse requests below one request a daemon

The limit of each daemon is already at its least, one request; but 21 or more daemons with one request each are more than such a leaf has places. Change: a refusal lowers the limit below one, to a tenth at the least. Such a limit is kept on average: after a request that took T the leaf gets none of this daemon for T (1 / limit - 1). Each answer raises it by a twentieth. The old check of an_overloaded_leaf_gets_one_request_at_a_time expected the next request 20 ms after an answer; the new one expects none in the pause, and one after it.

--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -267,14 +267,19 @@
                             const leaf_reply& reply)
 {
     const bool success = is_success(reply);
+    const auto outcome = outcome_of(ended, reply);
+    const bool expired = outcome == attempt_outcome::expired;
     // The latency of an expired attempt is at least the time that it took.
-    if (success || outcome_of(ended, reply) == attempt_outcome::expired) {
+    if (success || expired) {
         record_attempt_latency(step, ended);
     }
+    const auto sign = success                               ? load_sign::served
+                      : outcome == attempt_outcome::refused ? load_sign::refused
+                                                            : load_sign::failed;
     if (auto* leaf = find_leaf(step.pool, ended.leaf)) {
         const auto now = step.context.now;
         update_refusal_rate(*leaf, success, step.pool.settings, now);
-        adapt_concurrency_limit(*leaf, success, now - ended.sent_at,
+        adapt_concurrency_limit(*leaf, sign, now - ended.sent_at,
                                 ended.expected_latency, step.pool.settings,
                                 now);
     }
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -58,6 +58,15 @@
     return cost;
 }
 
+bool has_room(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
+{
+    return usable(pool, leaf, now) && accepts_requests(leaf, now) &&
+           limits::admits(leaf.limit, leaf.in_flight, now) &&
+           (!leaf.idle.empty() ||
+            (now >= leaf.backoff_until &&
+             leaf.connections < connection_quota(pool, leaf, now)));
+}
+
 connection_id open(leaf_pool& pool, leaf_state& leaf,
                    std::optional<attempt_id> attempt, context& context)
 {
@@ -208,12 +217,8 @@
     double best_cost = 0;
     for (const auto& id : found->second) {
         auto& leaf = pool.leafs.at(id);
-        if (!usable(pool, leaf, now) || !accepts_requests(leaf, now) ||
-            !limits::admits(leaf.limit, leaf.in_flight) ||
-            std::find(excluded.begin(), excluded.end(), id) != excluded.end() ||
-            (leaf.idle.empty() &&
-             (now < leaf.backoff_until ||
-              leaf.connections >= connection_quota(pool, leaf, now)))) {
+        if (!has_room(pool, leaf, now) ||
+            std::find(excluded.begin(), excluded.end(), id) != excluded.end()) {
             continue;
         }
         // Random tie-breaking: leafs of equal cost must not be taken in the
--- a/libraries/gateway/leaf_statistics.cpp
+++ b/libraries/gateway/leaf_statistics.cpp
@@ -59,23 +59,26 @@
     leaf.refusals_at = now;
 }
 
-void adapt_concurrency_limit(leaf_state& leaf, bool ran, duration seen,
+void adapt_concurrency_limit(leaf_state& leaf, load_sign sign, duration seen,
                              duration expected, const pool_options& settings,
                              boot_time now)
 {
-    if (!ran) {
-        limits::decrease(leaf.limit, limits::shed_decrease_factor, now);
-        return;
-    }
     const double ratio = expected > duration{0}
                              ? static_cast<double>(seen.count()) /
                                    static_cast<double>(expected.count())
                              : 1.0;
-    if (ratio > settings.queueing_latency_ratio) {
+    const bool paced = leaf.limit.limit < limits::min_concurrency;
+    if (sign == load_sign::refused) {
+        limits::decrease(leaf.limit, limits::shed_decrease_factor, now,
+                         limits::min_paced_concurrency);
+    } else if (sign == load_sign::failed) {
+        limits::decrease(leaf.limit, limits::shed_decrease_factor, now);
+    } else if (ratio > settings.queueing_latency_ratio && !paced) {
         limits::decrease(leaf.limit, limits::queue_decrease_factor, now);
     } else if (leaf.in_flight + 2 > leaf.limit.limit) {
         limits::increase(leaf.limit, settings.max_in_flight);
     }
+    limits::pace(leaf.limit, seen, now);
 }
 
 void avoid(leaf_state& leaf, boot_time until)
--- a/tests/gateway/query_test.cpp
+++ b/tests/gateway/query_test.cpp
@@ -129,8 +129,9 @@
     BOOST_TEST(answer.retry_after.count() > 0);
 }
 
-// The concurrency limit of a leaf that refuses requests drops to one, so that
-// the requests it accepts are answered in time.
+// The concurrency limit of a leaf that refuses requests drops to a tenth of a
+// request: one at a time, and after one that took 20 ms a pause of up to nine
+// times that.
 BOOST_FIXTURE_TEST_CASE(an_overloaded_leaf_gets_one_request_at_a_time,
                         gateway_fixture)
 {
@@ -152,8 +153,10 @@
     const auto sent = take<send_to_leaf>();
     BOOST_REQUIRE_EQUAL(sent.size(), 1U);
     reply(sent[0], "done");
-    advance(milliseconds{20});
-    BOOST_TEST(take<send_to_leaf>().size() >= 1U);
+    advance(milliseconds{100});
+    BOOST_TEST(take<send_to_leaf>().empty());
+    advance(milliseconds{100});
+    BOOST_TEST(take<send_to_leaf>().size() == 1U);
 }
 
 BOOST_FIXTURE_TEST_CASE(without_a_budget_there_are_no_extra_attempts,
