gateway: Admit a query that needs every part when all shards can take it

Each shard takes other queries, so that most lack the part of one shard, and what the others did for them is for nothing. Change: nothing of such a query is sent until the limits of all shards admit it. After a quarter of the objective it is refused as not run, which is true.

--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -173,12 +173,6 @@
                   budget, step.state.settings.budget, step.context.now)))));
 }
 
-void fail_part(exchange& exchange, request_part& part)
-{
-    part.phase = part_phase::failed;
-    ++exchange.failed;
-}
-
 // Whether no leaf of the part's service accepts requests before the exchange
 // has to be answered.
 bool is_unavailable(exchange_step& step, exchange& exchange,
@@ -364,6 +358,12 @@
     }
 }
 
+void fail_part(exchange& exchange, request_part& part)
+{
+    part.phase = part_phase::failed;
+    ++exchange.failed;
+}
+
 void fail_unavailable_parts(exchange_step& step, exchange& exchange)
 {
     for (auto& part : exchange.parts) {
--- a/libraries/gateway/attempts.hpp
+++ b/libraries/gateway/attempts.hpp
@@ -13,6 +13,8 @@
 // the part as failed.
 void advance_part(exchange_step&, exchange&, request_part&);
 
+void fail_part(exchange&, request_part&);
+
 // Fails the open parts whose services have no leaf that accepts requests before
 // the exchange has to be answered.
 void fail_unavailable_parts(exchange_step&, exchange&);
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -101,12 +101,52 @@
     return step.state.exchanges.count(raw(token)) > 0;
 }
 
+// Whether the query can't be answered without any of its parts.
+bool needs_every_part(const exchange& exchange)
+{
+    const auto parts = static_cast<double>(exchange.parts.size());
+    return is_query(exchange) &&
+           exchange.route->minimum_coverage * parts - 1e-9 > parts - 1.0;
+}
+
+bool all_parts_admitted(const exchange_step& step, const exchange& exchange)
+{
+    return std::all_of(
+        exchange.parts.begin(), exchange.parts.end(), [&](const auto& part) {
+            return admits_requests(step.pool, part.service, step.context.now);
+        });
+}
+
+// Admits a query that needs every part when all shards can take it: in a burst
+// most queries would otherwise lack the part of one shard, and what the others
+// did for them would be for nothing. Until then nothing is sent, and after a
+// short time the caller is refused.
+bool admit(exchange_step& step, exchange& exchange)
+{
+    if (exchange.admitted || !needs_every_part(exchange) ||
+        all_parts_admitted(step, exchange)) {
+        exchange.admitted = true;
+        return true;
+    }
+    const auto& settings = step.state.settings;
+    const auto limit = std::chrono::duration_cast<duration>(
+        exchange.route->objective * settings.max_admission_wait);
+    const bool refused = step.context.now >= exchange.started_at + limit;
+    for (auto& part : exchange.parts) {
+        part.next_action_at = step.context.now + settings.retry_delay;
+        if (refused && part.phase == part_phase::open) {
+            fail_part(exchange, part);
+        }
+    }
+    return false;
+}
+
 // Performs the actions that are due for the parts of an exchange. It may be
 // finished and erased by this.
 void advance(exchange_step& step, exchange& exchange)
 {
     const auto token = exchange.token;
-    if (step.context.now < exchange.answer_by) {
+    if (step.context.now < exchange.answer_by && admit(step, exchange)) {
         for (auto& part : exchange.parts) {
             if (part.phase == part_phase::open) {
                 advance_part(step, exchange, part);
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -32,6 +32,9 @@
     // Delay before leafs are selected again after none could take a request,
     // and before a request is retried at a leaf that refused it.
     duration retry_delay = milliseconds{10};
+    // How long a query that needs every part waits, as a share of its
+    // objective, until all shards can take it, before it is refused.
+    double max_admission_wait = 0.25;
     // How long an abandoned attempt may remain unanswered before its
     // connection is closed: after the caller has disconnected, and after the
     // caller's deadline.
@@ -98,6 +101,7 @@
     std::uint32_t attempts = 0; // transmitted, hedges included
     std::uint32_t hedges = 0;
     bool may_have_run = false;
+    bool admitted = false; // its parts are sent
     boot_time started_at{};
     // Once it has passed, a query is answered as soon as its minimum coverage
     // is reached.
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -234,6 +234,20 @@
     return best;
 }
 
+bool admits_requests(const leaf_pool& pool, const std::string& service,
+                     boot_time now)
+{
+    const auto found = pool.by_service.find(service);
+    return found != pool.by_service.end() &&
+           std::any_of(
+               found->second.begin(), found->second.end(), [&](const auto& id) {
+                   const auto& leaf = pool.leafs.at(id);
+                   return usable(pool, leaf, now) &&
+                          accepts_requests(leaf, now) &&
+                          limits::admits(leaf.limit, leaf.in_flight, now);
+               });
+}
+
 std::optional<connection_id> acquire(leaf_pool& pool, leaf_state& leaf,
                                      attempt_id attempt, bool idempotent,
                                      context& context)
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -156,6 +156,10 @@
 leaf_state* choose_leaf(leaf_pool&, const std::string& service,
                         std::span<const std::string> excluded, boot_time now);
 
+// Whether the concurrency limit of a leaf of the service admits a request now.
+bool admits_requests(const leaf_pool&, const std::string& service,
+                     boot_time now);
+
 // Assigns an idle connection to the attempt, or opens one for it; nothing if
 // the leaf's connection quota is used up.
 std::optional<connection_id> acquire(leaf_pool&, leaf_state&, attempt_id,
--- a/tests/gateway/overload_test.cpp
+++ b/tests/gateway/overload_test.cpp
@@ -179,6 +179,39 @@
     BOOST_TEST((only_sent().time_left > milliseconds{1900}));
 }
 
+// Load pattern: a burst at all shards, of which a query needs every one. The
+// parts that other shards have done for a query that lacks one are for nothing.
+BOOST_FIXTURE_TEST_CASE(a_query_that_needs_every_part_waits_for_all_shards,
+                        gateway_fixture)
+{
+    make_query_route(2);
+    require_coverage(1.0);
+    // The leafs of one shard are busy.
+    for (const char* busy : {"s0-a", "s0-b"}) {
+        auto& leaf = state.pool.leafs.at(busy);
+        leaf.limit.limit = 1;
+        leaf.in_flight = 1;
+    }
+    send_request("/q/x");
+    BOOST_TEST(take<send_to_leaf>().empty());
+    advance(milliseconds{15});
+    state.pool.leafs.at("s0-b").in_flight = 0;
+    advance(milliseconds{10});
+    for (const auto& each : take<send_to_leaf>()) {
+        reply(each, "0123456789abcdef");
+    }
+    BOOST_TEST(only_answer().missing_shards == 0U);
+    // The refusal comes within a quarter of the objective of 120 ms.
+    state.pool.leafs.at("s0-b").in_flight = 1;
+    state.pool.leafs.at("s0-b").limit.limit = 1;
+    send_request("/q/y");
+    advance(milliseconds{30});
+    BOOST_TEST(take<send_to_leaf>().empty());
+    const auto answer = only_answer();
+    BOOST_TEST((answer.kind == answer_kind::not_run));
+    BOOST_TEST(answer.retry_after.count() > 0);
+}
+
 // Leafs that are silent at first use up the hedges, not the retries.
 BOOST_FIXTURE_TEST_CASE(hedges_leave_a_part_of_the_budget_to_retries,
                         gateway_fixture)
