experiment: Split the model, check the shards of faults

Cause: fleet.cpp had 560 lines, of daemons, leafs and callers; a fault of a shard that the fleet lacks was accepted and did nothing. Change: the leafs are in leafs.cpp, the shared state in simulation.hpp; such a fault is an error. A comment for fail_part.

--- a/fakes/experiment/fleet.cpp
+++ b/fakes/experiment/fleet.cpp
@@ -1,92 +1,16 @@
 #include "fakes/experiment/fleet.hpp"
 
-#include "libraries/gateway/gateway.hpp"
+#include "fakes/experiment/simulation.hpp"
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
-#include <functional>
-#include <queue>
 
 namespace bulrushspring::experiment
 {
 namespace
 {
 
-// One way between two machines of a region.
-constexpr duration network_latency = std::chrono::microseconds{500};
 constexpr std::uint16_t first_port = 10'000;
-// Time in which the daemons learn their fleet and connect.
-constexpr seconds preparation{8};
-
-// A daemon's connection to a leaf.
-struct link {
-    std::size_t leaf = 0;
-    bool accepted = false; // counts against the leaf's limit
-};
-
-struct daemon {
-    gateway::state state;
-    std::vector<gateway::effect> effects;
-    std::vector<bulrushspring::effect> shared;
-    std::uint64_t last_identifier = 0;
-    std::map<std::uint64_t, link> links;   // by connection_id
-    boot_time wakes_at = boot_time::max(); // the next tick
-};
-
-struct job {
-    std::size_t daemon = 0;
-    connection_id connection{};
-    boot_time until{};
-};
-
-struct leaf {
-    std::size_t shard = 0;
-    std::size_t number = 0; // in its shard
-    std::uint32_t connections = 0;
-    std::size_t running = 0;
-    std::deque<job> queue;
-    std::uint32_t starts = 0; // of its process
-};
-
-struct query {
-    boot_time sent_at{};
-    std::size_t second = 0;
-    bool measured = false;
-};
-
-struct timed_action {
-    boot_time at{};
-    std::uint64_t number = 0; // keeps the order of actions at the same time
-    std::function<void()> run;
-};
-struct later {
-    bool operator()(const timed_action& one, const timed_action& other) const
-    {
-        return std::pair(one.at, one.number) >
-               std::pair(other.at, other.number);
-    }
-};
-
-struct simulation {
-    const pattern& plan;
-    random_source random;
-    boot_time now{seconds{1000}};
-    boot_time start = now;
-    std::uint64_t last_number = 0;
-    std::uint64_t last_query = 0;
-    std::priority_queue<timed_action, std::vector<timed_action>, later> actions;
-    std::vector<daemon> daemons;
-    std::vector<leaf> leafs;
-    std::map<std::uint64_t, query> queries; // in progress, by token
-    topology::records_learned records;
-    run_result result;
-};
-
-void after(simulation& self, duration delay, std::function<void()> run)
-{
-    self.actions.push({self.now + delay, ++self.last_number, std::move(run)});
-}
 
 endpoint peer_address(std::size_t daemon)
 {
@@ -98,166 +22,6 @@
     return {0x7F000002, static_cast<std::uint16_t>(first_port + leaf)};
 }
 
-bool applies(const leaf_fault& fault, const leaf& to, duration at)
-{
-    return to.shard >= fault.first_shard &&
-           to.shard < fault.first_shard + fault.shards &&
-           to.number < fault.leafs && at >= fault.from &&
-           at < fault.from + fault.span;
-}
-
-bool is_down(const simulation& self, const leaf& each)
-{
-    return std::any_of(self.plan.faults.begin(), self.plan.faults.end(),
-                       [&](const auto& fault) {
-                           return fault.kind == fault_kind::down &&
-                                  applies(fault, each, self.now - self.start);
-                       });
-}
-
-// The time that the leaf takes for its next request: half of the mean and an
-// exponentially distributed rest.
-duration draw_work(simulation& self, const leaf& each)
-{
-    double work = static_cast<double>(self.plan.work.count());
-    for (const auto& fault : self.plan.faults) {
-        if (fault.kind == fault_kind::slow &&
-            applies(fault, each, self.now - self.start)) {
-            work *= fault.factor;
-        }
-    }
-    const double rest = -std::log(1.0 - random_fraction(self.random));
-    return duration{static_cast<std::int64_t>(work * (0.5 + 0.5 * rest))};
-}
-
-// The current second of the measured time; null during the warm-up.
-tally* current_second(simulation& self)
-{
-    const duration measured = self.now - self.start - self.plan.warm_up;
-    if (measured < duration{0}) {
-        return nullptr;
-    }
-    const auto second = static_cast<std::size_t>(measured / seconds{1});
-    return second < self.result.seconds.size() ? &self.result.seconds[second]
-                                               : nullptr;
-}
-
-void feed(simulation& self, std::size_t daemon, const gateway::any_event& what);
-
-void reply(simulation& self, const job& to, unsigned status, bool not_run)
-{
-    gateway::leaf_reply answer;
-    answer.status = status;
-    answer.not_run = not_run;
-    answer.signature = not_run ? "" : "seal";
-    answer.body = status == 200 ? std::string(16, 'x') : "";
-    after(self, network_latency, [&self, to, answer] {
-        if (self.daemons[to.daemon].links.count(raw(to.connection)) > 0) {
-            feed(self, to.daemon,
-                 gateway::leaf_replied{to.connection, answer, true});
-        }
-    });
-}
-
-void start_jobs(simulation& self, std::size_t index)
-{
-    constexpr unsigned timed_out = 504;
-    auto& leaf = self.leafs[index];
-    while (leaf.running < self.plan.slots && !leaf.queue.empty()) {
-        const auto next = leaf.queue.front();
-        leaf.queue.pop_front();
-        const duration work = draw_work(self, leaf);
-        const bool in_time = self.now + work <= next.until;
-        if (auto* second = current_second(self); second && !in_time) {
-            ++second->leaf_expirations;
-        }
-        if (next.until <= self.now) {
-            reply(self, next, timed_out, false);
-            continue;
-        }
-        ++leaf.running;
-        after(self, std::min(work, duration{next.until - self.now}),
-              [&self, index, next, in_time, starts = leaf.starts] {
-                  auto& worker = self.leafs[index];
-                  if (worker.starts != starts) {
-                      return; // the process has ended
-                  }
-                  --worker.running;
-                  reply(self, next, in_time ? 200U : timed_out, false);
-                  start_jobs(self, index);
-              });
-    }
-}
-
-// Removes a connection. Returns false if it has ended already.
-bool remove_link(simulation& self, std::size_t daemon, connection_id connection)
-{
-    auto& links = self.daemons[daemon].links;
-    const auto found = links.find(raw(connection));
-    if (found == links.end()) {
-        return false;
-    }
-    self.leafs[found->second.leaf].connections -=
-        found->second.accepted ? 1 : 0;
-    links.erase(found);
-    return true;
-}
-
-// The leaf ends a connection, or does not accept it.
-void disconnect(simulation& self, std::size_t daemon, connection_id connection)
-{
-    after(self, network_latency, [&self, daemon, connection] {
-        if (remove_link(self, daemon, connection)) {
-            feed(self, daemon, gateway::leaf_disconnected{connection, error{}});
-        }
-    });
-}
-
-void arrive(simulation& self, std::size_t index, const job& request)
-{
-    constexpr unsigned unavailable = 503;
-    auto& leaf = self.leafs[index];
-    auto* second = current_second(self);
-    if (is_down(self, leaf)) {
-        disconnect(self, request.daemon, request.connection);
-        return;
-    }
-    if (second != nullptr) {
-        ++second->leaf_requests;
-    }
-    if (leaf.running >= self.plan.slots &&
-        leaf.queue.size() >= self.plan.queue) {
-        if (second != nullptr) {
-            ++second->leaf_refusals;
-        }
-        reply(self, request, unavailable, true);
-        return;
-    }
-    leaf.queue.push_back(request);
-    start_jobs(self, index);
-}
-
-void accept(simulation& self, std::size_t daemon, connection_id connection)
-{
-    auto& links = self.daemons[daemon].links;
-    const auto found = links.find(raw(connection));
-    if (found == links.end()) {
-        return;
-    }
-    auto& leaf = self.leafs[found->second.leaf];
-    if (is_down(self, leaf) || leaf.connections >= self.plan.connections) {
-        disconnect(self, daemon, connection);
-        return;
-    }
-    ++leaf.connections;
-    found->second.accepted = true;
-    after(self, network_latency, [&self, daemon, connection] {
-        if (self.daemons[daemon].links.count(raw(connection)) > 0) {
-            feed(self, daemon, gateway::leaf_connected{connection});
-        }
-    });
-}
-
 void perform(simulation& self, std::size_t daemon,
              const gateway::open_leaf& open)
 {
@@ -368,6 +132,24 @@
     });
 }
 
+} // namespace
+
+void after(simulation& self, duration delay, std::function<void()> run)
+{
+    self.actions.push({self.now + delay, ++self.last_number, std::move(run)});
+}
+
+tally* current_second(simulation& self)
+{
+    const duration measured = self.now - self.start - self.plan.warm_up;
+    if (measured < duration{0}) {
+        return nullptr;
+    }
+    const auto second = static_cast<std::size_t>(measured / seconds{1});
+    return second < self.result.seconds.size() ? &self.result.seconds[second]
+                                               : nullptr;
+}
+
 void feed(simulation& self, std::size_t index, const gateway::any_event& what)
 {
     auto& daemon = self.daemons[index];
@@ -385,6 +167,9 @@
     schedule_tick(self, index);
 }
 
+namespace
+{
+
 void make_records(simulation& self)
 {
     auto table = std::make_shared<routing::table>();
@@ -443,35 +228,6 @@
     }
 }
 
-// Ends the connections and the work of leafs that go down, and starts them
-// again.
-void schedule_faults(simulation& self)
-{
-    for (const auto& fault : self.plan.faults) {
-        if (fault.kind != fault_kind::down) {
-            continue;
-        }
-        after(self, preparation + fault.from, [&self, fault] {
-            for (std::size_t i = 0; i < self.leafs.size(); ++i) {
-                auto& leaf = self.leafs[i];
-                if (!applies(fault, leaf, fault.from)) {
-                    continue;
-                }
-                leaf.running = 0;
-                leaf.queue.clear();
-                ++leaf.starts;
-                for (std::size_t d = 0; d < self.daemons.size(); ++d) {
-                    for (const auto& [id, to] : self.daemons[d].links) {
-                        if (to.leaf == i) {
-                            disconnect(self, d, connection_id{id});
-                        }
-                    }
-                }
-            }
-        });
-    }
-}
-
 // Sends the next query, to a random daemon, and schedules the one after it.
 void send_queries(simulation& self)
 {
--- a/fakes/experiment/pattern.cpp
+++ b/fakes/experiment/pattern.cpp
@@ -91,6 +91,20 @@
     into.faults.push_back(fault);
 }
 
+// Faults must be of shards and leafs that the fleet has.
+void check_faults(const pattern& parsed, validation_errors& found)
+{
+    for (const auto& fault : parsed.faults) {
+        const std::size_t end = fault.first_shard + fault.shards;
+        if (end > parsed.shards || fault.leafs > parsed.leafs) {
+            found.push_back({errc::out_of_range, "fault", "",
+                             "shards and leafs of [fleet]",
+                             "shards up to " + std::to_string(end) + ", " +
+                                 std::to_string(fault.leafs) + " leafs"});
+        }
+    }
+}
+
 } // namespace
 
 manifest::checked<pattern> parse_pattern(std::string_view content)
@@ -118,6 +132,7 @@
                       "one of fleet, route, load, fault NAME", header);
         }
     }
+    check_faults(parsed, found);
     if (!found.empty()) {
         return found;
     }
--- a/libraries/gateway/attempts.hpp
+++ b/libraries/gateway/attempts.hpp
@@ -13,6 +13,7 @@
 // the part as failed.
 void advance_part(exchange_step&, exchange&, request_part&);
 
+// Gives up an open part: the exchange is answered without it, if at all.
 void fail_part(exchange&, request_part&);
 
 // Fails the open parts whose services have no leaf that accepts requests before
--- a/tests/experiment/experiment_test.cpp
+++ b/tests/experiment/experiment_test.cpp
@@ -41,14 +41,15 @@
 {
     const auto parsed = parse_pattern(
         "[fleet]\ndaemons = 31\n[route]\nobjective = 5\n[fault x]\nkind = odd\n"
-        "[other]\nkey = 1\n");
+        "[fault y]\nkind = down\nfirst_shard = 9\n[other]\nkey = 1\n");
     BOOST_REQUIRE(parsed.has_error());
     std::string all;
     for (const auto& each : parsed.error()) {
         all += to_string(each) + '\n';
     }
     for (const char* expected :
-         {"daemons: out of range", "objective: ", "kind", "other", "load"}) {
+         {"daemons: out of range", "objective: ", "kind", "other", "load",
+          "shards and leafs of [fleet]"}) {
         BOOST_TEST(all.find(expected) != std::string::npos,
                    expected << " is missing from " << all);
     }
