--- a/fakes/experiment/fleet.hpp
+++ b/fakes/experiment/fleet.hpp
@@ -37,6 +37,8 @@
 // Sums up the seconds of a run.
 tally total(const run_result&);
 
+// Plays a pattern once; the seed determines arrivals, work times and the
+// daemons' random choices.
 run_result play(const pattern&, std::uint64_t seed);
 
 } // namespace bulrushspring::experiment
--- a/libraries/limits/concurrency_limit.hpp
+++ b/libraries/limits/concurrency_limit.hpp
@@ -22,7 +22,7 @@
 };
 
 inline constexpr double min_concurrency = 1.0;
-// The limit below which no leaf is paced.
+// The least limit of a leaf that is paced.
 inline constexpr double min_paced_concurrency = 0.1;
 // Growth of a limit below one with each answer in time.
 inline constexpr double paced_increase_factor = 1.05;
@@ -78,7 +78,7 @@
     limit.limit = min_concurrency;
 }
 
-// Whether one more request may be sent.
+// Whether one more request may be sent. Without a time, pauses are ignored.
 inline bool admits(const concurrency_limit& limit, std::uint32_t in_flight,
                    boot_time now = boot_time::max())
 {
