gateway: Forget all of a leaf's earlier process, and say each thing once

Cause: read through as a newcomer. Change: leaf_process holds what is learned of a process and is replaced as a whole; attempt_outcome gains succeeded and replaces load_sign; awaits_answer and leafs_of; the wrappers are gone; admits takes the time from both interfaces.

--- a/libraries/gateway/answers.cpp
+++ b/libraries/gateway/answers.cpp
@@ -1,5 +1,6 @@
 #include "libraries/gateway/answers.hpp"
 
+#include "libraries/gateway/attempts.hpp"
 #include "libraries/gateway/merge.hpp"
 
 #include <algorithm>
@@ -73,11 +74,8 @@
         return relayed_answer(exchange); // the leaf's signed failure
     }
     const bool pending = std::any_of(
-        exchange.parts.begin(), exchange.parts.end(), [&](const auto& part) {
-            return std::any_of(
-                part.outstanding.begin(), part.outstanding.end(),
-                [&](auto id) { return step.state.attempts.at(raw(id)).sent; });
-        });
+        exchange.parts.begin(), exchange.parts.end(),
+        [&](const auto& part) { return awaits_answer(step, part); });
     if (!exchange.may_have_run && exchange.covered == 0 && !pending) {
         answer.kind = answer_kind::not_run;
         answer.retry_after = retry_after(step, exchange);
--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -99,6 +99,8 @@
     return choose_leaf(step.pool, part.service, excluded, now);
 }
 
+// Charges an attempt to the budget unless it is the part's first one. `reserve`
+// is the share of the budget that it leaves.
 bool charge_if_extra(exchange_step& step, const request_part& part,
                      double reserve)
 {
@@ -109,16 +111,6 @@
                          step.state.settings.budget, step.context.now, reserve);
 }
 
-bool charge_retry(exchange_step& step, const request_part& part)
-{
-    return charge_if_extra(step, part, 0.0);
-}
-
-bool charge_hedge(exchange_step& step, const request_part& part)
-{
-    return charge_if_extra(step, part, step.state.settings.retry_reserve);
-}
-
 // Starts an attempt at the leaf. It is transmitted at once on an idle
 // connection, or when a new connection is established. Returns false if no
 // connection is available.
@@ -240,7 +232,7 @@
         retry_later_or_fail(step, exchange, part);
         return;
     }
-    if (!charge_retry(step, part)) {
+    if (!charge_if_extra(step, part, 0.0)) {
         wait_for_budget(step, exchange, part);
         return;
     }
@@ -272,7 +264,8 @@
     }
     const auto tried = tried_leafs(part);
     auto* leaf = choose_leaf(step.pool, part.service, tried, now);
-    if (leaf == nullptr || !charge_hedge(step, part)) {
+    if (leaf == nullptr ||
+        !charge_if_extra(step, part, step.state.settings.retry_reserve)) {
         part.next_action_at = now + step.state.settings.retry_delay;
         return;
     }
@@ -374,16 +367,21 @@
     }
 }
 
+bool awaits_answer(const exchange_step& step, const request_part& part)
+{
+    return std::any_of(
+        part.outstanding.begin(), part.outstanding.end(),
+        [&](auto id) { return step.state.attempts.at(raw(id)).sent; });
+}
+
 bool may_be_in_time(const exchange_step& step, const exchange& exchange,
                     const request_part& part)
 {
     const auto now = step.context.now;
-    const bool sent = std::any_of(
-        part.outstanding.begin(), part.outstanding.end(),
-        [&](auto id) { return step.state.attempts.at(raw(id)).sent; });
-    return sent || (!is_unreachable(step.pool, part.service, now) &&
-                    available_at(step.pool, part.service, now) <
-                        exchange.objective_deadline);
+    return awaits_answer(step, part) ||
+           (!is_unreachable(step.pool, part.service, now) &&
+            available_at(step.pool, part.service, now) <
+                exchange.objective_deadline);
 }
 
 void abandon_part_attempts(exchange_step& step, exchange& exchange,
--- a/libraries/gateway/attempts.hpp
+++ b/libraries/gateway/attempts.hpp
@@ -20,6 +20,9 @@
 // the exchange has to be answered.
 void fail_unavailable_parts(exchange_step&, exchange&);
 
+// Whether an outstanding attempt of the part was sent.
+bool awaits_answer(const exchange_step&, const request_part&);
+
 // Whether an open part may still be answered within the objective: it was sent
 // to a leaf, or may reach one in that time.
 bool may_be_in_time(const exchange_step&, const exchange&, const request_part&);
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -5,6 +5,7 @@
 #include "libraries/gateway/attempts.hpp"
 #include "libraries/gateway/events.hpp"
 #include "libraries/gateway/leaf_statistics.hpp"
+#include "libraries/gateway/query_admission.hpp"
 
 #include <algorithm>
 
@@ -101,46 +102,6 @@
     return step.state.exchanges.count(raw(token)) > 0;
 }
 
-// Whether the query can't be answered without any of its parts.
-bool needs_every_part(const exchange& exchange)
-{
-    const auto parts = static_cast<double>(exchange.parts.size());
-    return is_query(exchange) &&
-           exchange.route->minimum_coverage * parts - 1e-9 > parts - 1.0;
-}
-
-bool all_parts_admitted(const exchange_step& step, const exchange& exchange)
-{
-    return std::all_of(
-        exchange.parts.begin(), exchange.parts.end(), [&](const auto& part) {
-            return admits_requests(step.pool, part.service, step.context.now);
-        });
-}
-
-// Admits a query that needs every part when all shards can take it: in a burst
-// most queries would otherwise lack the part of one shard, and what the others
-// did for them would be for nothing. Until then nothing is sent, and after a
-// short time the caller is refused.
-bool admit(exchange_step& step, exchange& exchange)
-{
-    if (exchange.admitted || !needs_every_part(exchange) ||
-        all_parts_admitted(step, exchange)) {
-        exchange.admitted = true;
-        return true;
-    }
-    const auto& settings = step.state.settings;
-    const auto limit = std::chrono::duration_cast<duration>(
-        exchange.route->objective * settings.max_admission_wait);
-    const bool refused = step.context.now >= exchange.started_at + limit;
-    for (auto& part : exchange.parts) {
-        part.next_action_at = step.context.now + settings.retry_delay;
-        if (refused && part.phase == part_phase::open) {
-            fail_part(exchange, part);
-        }
-    }
-    return false;
-}
-
 // Performs the actions that are due for the parts of an exchange. It may be
 // finished and erased by this.
 void advance(exchange_step& step, exchange& exchange)
@@ -218,6 +179,9 @@
 attempt_outcome outcome_of(const attempt& ended, const leaf_reply& reply)
 {
     constexpr unsigned timeout_status = 504;
+    if (is_success(reply)) {
+        return attempt_outcome::succeeded;
+    }
     if (ended.deadline_shortened && reply.status == timeout_status) {
         return attempt_outcome::expired;
     }
@@ -253,13 +217,13 @@
     auto& exchange = step.state.exchanges.at(raw(ended.exchange));
     auto& part = exchange.parts[ended.part];
     std::erase(part.outstanding, id);
-    if (is_success(reply)) {
+    const auto outcome = outcome_of(ended, reply);
+    if (outcome == attempt_outcome::succeeded) {
         exchange.may_have_run = true;
         complete_part(step, exchange, part, reply);
         finish_if_decided(step, exchange); // the other parts are unaffected
         return;
     }
-    const auto outcome = outcome_of(ended, reply);
     log_unsuccessful_reply(step, exchange, ended, reply);
     record_attempt_outcome(step, part, id, ended, outcome);
     if (outcome == attempt_outcome::expired) {
@@ -306,20 +270,16 @@
 void update_leaf_statistics(exchange_step& step, const attempt& ended,
                             const leaf_reply& reply)
 {
-    const bool success = is_success(reply);
     const auto outcome = outcome_of(ended, reply);
-    const bool expired = outcome == attempt_outcome::expired;
     // The latency of an expired attempt is at least the time that it took.
-    if (success || expired) {
+    if (outcome == attempt_outcome::succeeded ||
+        outcome == attempt_outcome::expired) {
         record_attempt_latency(step, ended);
     }
-    const auto sign = success                               ? load_sign::served
-                      : outcome == attempt_outcome::refused ? load_sign::refused
-                                                            : load_sign::failed;
     if (auto* leaf = find_leaf(step.pool, ended.leaf)) {
         const auto now = step.context.now;
-        update_refusal_rate(*leaf, success, step.pool.settings, now);
-        adapt_concurrency_limit(*leaf, sign, now - ended.sent_at,
+        update_refusal_rate(*leaf, outcome, step.pool.settings, now);
+        adapt_concurrency_limit(*leaf, outcome, now - ended.sent_at,
                                 ended.expected_latency, step.pool.settings,
                                 now);
     }
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -56,17 +56,6 @@
     limits::window_limits budget;     // of extra attempts, for each service
 };
 
-// The outcome of an attempt.
-enum class attempt_outcome : std::uint8_t {
-    pending,
-    refused,     // not run, as stated by the leaf
-    misdirected, // not run: another server has the address
-    failed,      // may have run: it was answered with a failure
-    broke_off,   // may have run: the connection ended without an answer
-    expired,     // may have run: its time at the leaf, less than the caller's
-                 // time, ran out
-};
-
 struct tried_leaf {
     std::string leaf;
     attempt_outcome outcome = attempt_outcome::pending;
@@ -101,7 +90,7 @@
     std::uint32_t attempts = 0; // transmitted, hedges included
     std::uint32_t hedges = 0;
     bool may_have_run = false;
-    bool admitted = false; // its parts are sent
+    bool admitted = false; // its parts may be sent
     boot_time started_at{};
     // Once it has passed, a query is answered as soon as its minimum coverage
     // is reached.
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -58,7 +58,18 @@
     return cost;
 }
 
-bool has_room(const leaf_pool& pool, const leaf_state& leaf, boot_time now)
+// The ids of a service's leafs; none if the service is not known.
+std::span<const std::string> leafs_of(const leaf_pool& pool,
+                                      const std::string& service)
+{
+    const auto found = pool.by_service.find(service);
+    return found == pool.by_service.end()
+               ? std::span<const std::string>{}
+               : std::span<const std::string>{found->second};
+}
+
+bool can_take_request(const leaf_pool& pool, const leaf_state& leaf,
+                      boot_time now)
 {
     return usable(pool, leaf, now) && accepts_requests(leaf, now) &&
            limits::admits(leaf.limit, leaf.in_flight, now) &&
@@ -169,15 +180,8 @@
     if (!added && restarted) {
         close_idle(pool, leaf, context);
         remove_from_service(pool, leaf);
-        leaf.latency_ratio = 1.0;
-        leaf.misdirected = false;
-        leaf.leaving = false;
-        leaf.paused_until = context.now;
         ++leaf.incarnations;
-        leaf.failed_connections = 0;
-        leaf.failed_opens = 0;
-        leaf.unanswered_hedges = 0;
-        leaf.backoff_until = context.now;
+        static_cast<leaf_process&>(leaf) = {};
     }
     if (added) {
         const auto spread = random_below(
@@ -185,10 +189,10 @@
             static_cast<std::uint64_t>(duration{preconnect_spread}.count()));
         leaf.preconnect_after =
             context.now + duration{static_cast<std::int64_t>(spread)};
-        leaf.limit.limit = std::max(published.slots, 1U);
         leaf.placement_hash = stable_hash(published.id, stable_hash(pool.name));
     }
     if (added || restarted) {
+        leaf.limit.limit = std::max(published.slots, 1U);
         pool.by_service[published.service].push_back(published.id);
     }
     leaf.published = published;
@@ -208,16 +212,12 @@
 leaf_state* choose_leaf(leaf_pool& pool, const std::string& service,
                         std::span<const std::string> excluded, boot_time now)
 {
-    const auto found = pool.by_service.find(service);
-    if (found == pool.by_service.end()) {
-        return nullptr;
-    }
     constexpr double tie_breaking_share = 0.1;
     leaf_state* best = nullptr;
     double best_cost = 0;
-    for (const auto& id : found->second) {
+    for (const auto& id : leafs_of(pool, service)) {
         auto& leaf = pool.leafs.at(id);
-        if (!has_room(pool, leaf, now) ||
+        if (!can_take_request(pool, leaf, now) ||
             std::find(excluded.begin(), excluded.end(), id) != excluded.end()) {
             continue;
         }
@@ -237,15 +237,12 @@
 bool admits_requests(const leaf_pool& pool, const std::string& service,
                      boot_time now)
 {
-    const auto found = pool.by_service.find(service);
-    return found != pool.by_service.end() &&
-           std::any_of(
-               found->second.begin(), found->second.end(), [&](const auto& id) {
-                   const auto& leaf = pool.leafs.at(id);
-                   return usable(pool, leaf, now) &&
-                          accepts_requests(leaf, now) &&
-                          limits::admits(leaf.limit, leaf.in_flight, now);
-               });
+    const auto ids = leafs_of(pool, service);
+    return std::any_of(ids.begin(), ids.end(), [&](const auto& id) {
+        const auto& leaf = pool.leafs.at(id);
+        return usable(pool, leaf, now) && accepts_requests(leaf, now) &&
+               limits::admits(leaf.limit, leaf.in_flight, now);
+    });
 }
 
 std::optional<connection_id> acquire(leaf_pool& pool, leaf_state& leaf,
@@ -303,20 +300,15 @@
 boot_time available_at(const leaf_pool& pool, const std::string& service,
                        boot_time now)
 {
-    const auto found = pool.by_service.find(service);
     boot_time earliest = boot_time::max();
-    if (found == pool.by_service.end()) {
-        return earliest;
-    }
-    for (const auto& id : found->second) {
+    for (const auto& id : leafs_of(pool, service)) {
         const auto& leaf = pool.leafs.at(id);
-        if (!usable(pool, leaf, now)) {
-            continue;
+        if (usable(pool, leaf, now)) {
+            const auto connects_at =
+                leaf.established > 0 ? now : leaf.backoff_until;
+            earliest = std::min(
+                earliest, std::max({now, leaf.paused_until, connects_at}));
         }
-        const auto connects_at =
-            leaf.established > 0 ? now : leaf.backoff_until;
-        earliest =
-            std::min(earliest, std::max({now, leaf.paused_until, connects_at}));
     }
     return earliest;
 }
@@ -324,15 +316,12 @@
 bool is_unreachable(const leaf_pool& pool, const std::string& service,
                     boot_time now)
 {
-    const auto found = pool.by_service.find(service);
-    return found == pool.by_service.end() ||
-           std::none_of(found->second.begin(), found->second.end(),
-                        [&](const auto& id) {
-                            const auto& leaf = pool.leafs.at(id);
-                            return usable(pool, leaf, now) &&
-                                   (leaf.established > 0 ||
-                                    leaf.failed_opens < max_failed_opens);
-                        });
+    const auto ids = leafs_of(pool, service);
+    return std::none_of(ids.begin(), ids.end(), [&](const auto& id) {
+        const auto& leaf = pool.leafs.at(id);
+        return usable(pool, leaf, now) &&
+               (leaf.established > 0 || leaf.failed_opens < max_failed_opens);
+    });
 }
 
 void release(leaf_pool& pool, connection_id id, const leaf_reply& reply,
@@ -411,11 +400,7 @@
         return true;
     }
     const auto has_connections = [&](const std::string& service) {
-        const auto found = pool.by_service.find(service);
-        if (found == pool.by_service.end()) {
-            return true;
-        }
-        const auto& ids = found->second;
+        const auto ids = leafs_of(pool, service);
         const auto lacks_connection = [&](const auto& id) {
             const auto& leaf = pool.leafs.at(id);
             return leaf.idle.empty() && leaf.in_flight == 0 &&
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -15,12 +15,24 @@
 namespace bulrushspring::gateway
 {
 
-// Failed opens in a row from which on a leaf is taken to be unreachable.
-inline constexpr std::uint32_t max_failed_opens = 2;
-
 // Identifies one attempt: one request that is sent to one leaf.
 enum class attempt_id : std::uint64_t {};
 
+// The outcome of an attempt.
+enum class attempt_outcome : std::uint8_t {
+    pending,
+    succeeded,
+    refused,     // not run, as stated by the leaf
+    misdirected, // not run: another server has the address
+    failed,      // may have run: it was answered with a failure
+    broke_off,   // may have run: the connection ended without an answer
+    expired,     // may have run: its time at the leaf, less than the caller's
+                 // time, ran out
+};
+
+// After this many failed opens in a row a leaf is considered unreachable.
+inline constexpr std::uint32_t max_failed_opens = 2;
+
 struct pool_options {
     // A record that is missing from the store may have expired while the
     // store was unavailable, and returns about two seconds later: until then
@@ -78,32 +90,36 @@
     duration idle_timeout{0};          // at the leaf; 0: not known
 };
 
-struct leaf_state {
-    routing::leaf published;
-    bool listed = false; // its record is in the store
-    boot_time unlisted_at{};
+// What was learned of a leaf's process, and is forgotten when it restarts.
+struct leaf_process {
     bool misdirected = false; // another server answers at its address
     // It has stated in an answer that it is leaving.
     bool leaving = false;
     // It has stated with a refusal that it wants no request before this time.
     boot_time paused_until{};
-    std::uint32_t incarnations = 0; // changes of its published incarnation
     // Moving average of observed over expected latency; 1 is as expected.
     double latency_ratio = 1.0;
     boot_time sampled_at{};
     // Moving average of the requests that it refused or failed, 0 to 1.
     double refusal_rate = 0.0;
     boot_time refusals_at{};
-    std::uint32_t in_flight = 0;
-    limits::concurrency_limit limit;     // of in_flight
+    limits::concurrency_limit limit;     // of leaf_state::in_flight
     std::uint32_t unanswered_hedges = 0; // since its last answer
     boot_time avoid_until{};
     // Connections in a row that ended before any answer, and of those the
     // ones in a row that were never established.
     std::uint32_t failed_connections = 0;
     std::uint32_t failed_opens = 0;
-    boot_time backoff_until{};       // no connection is opened before
-    boot_time preconnect_after{};    // none is opened in advance before
+    boot_time backoff_until{}; // no connection is opened before
+};
+
+struct leaf_state : leaf_process {
+    routing::leaf published;
+    bool listed = false; // its record is in the store
+    boot_time unlisted_at{};
+    std::uint32_t incarnations = 0; // changes of its published incarnation
+    std::uint32_t in_flight = 0;
+    boot_time preconnect_after{}; // no connection is opened in advance before
     std::vector<connection_id> idle; // the most recently used at the back
     std::uint32_t connections = 0;   // opening, idle and busy
     std::uint32_t established = 0;   // of those, idle and busy
@@ -180,8 +196,9 @@
 boot_time available_at(const leaf_pool&, const std::string& service,
                        boot_time now);
 
-// Whether the service has no leaf to which a connection is or has lately been
-// established, so that no answer is to be expected while connects go on.
+// Whether all leafs of the service are unreachable: none has an established
+// connection, and the last connects to each have failed. While further ones are
+// made, no answer is to be expected.
 bool is_unreachable(const leaf_pool&, const std::string& service,
                     boot_time now);
 
--- a/libraries/gateway/leaf_statistics.cpp
+++ b/libraries/gateway/leaf_statistics.cpp
@@ -49,29 +49,31 @@
     leaf.sampled_at = now;
 }
 
-void update_refusal_rate(leaf_state& leaf, bool ran,
+void update_refusal_rate(leaf_state& leaf, attempt_outcome outcome,
                          const pool_options& settings, boot_time now)
 {
     constexpr double weight_of_newest = 0.2;
     const double previous = refusal_rate_at(settings, leaf, now);
     leaf.refusal_rate =
-        previous + weight_of_newest * ((ran ? 0.0 : 1.0) - previous);
+        previous +
+        weight_of_newest *
+            ((outcome == attempt_outcome::succeeded ? 0.0 : 1.0) - previous);
     leaf.refusals_at = now;
 }
 
-void adapt_concurrency_limit(leaf_state& leaf, load_sign sign, duration seen,
-                             duration expected, const pool_options& settings,
-                             boot_time now)
+void adapt_concurrency_limit(leaf_state& leaf, attempt_outcome outcome,
+                             duration seen, duration expected,
+                             const pool_options& settings, boot_time now)
 {
     const double ratio = expected > duration{0}
                              ? static_cast<double>(seen.count()) /
                                    static_cast<double>(expected.count())
                              : 1.0;
     const bool paced = leaf.limit.limit < limits::min_concurrency;
-    if (sign == load_sign::refused) {
+    if (outcome == attempt_outcome::refused) {
         limits::decrease(leaf.limit, limits::shed_decrease_factor, now,
                          limits::min_paced_concurrency);
-    } else if (sign == load_sign::failed) {
+    } else if (outcome != attempt_outcome::succeeded) {
         limits::decrease(leaf.limit, limits::shed_decrease_factor, now);
     } else if (ratio > settings.queueing_latency_ratio && !paced) {
         limits::decrease(leaf.limit, limits::queue_decrease_factor, now);
--- a/libraries/gateway/leaf_statistics.hpp
+++ b/libraries/gateway/leaf_statistics.hpp
@@ -17,21 +17,14 @@
 // route is not known (0).
 void update_latency_ratio(leaf_state&, duration seen, duration expected,
                           const pool_options&, boot_time now);
-// Adds the outcome of a request; `ran` means that it succeeded.
-void update_refusal_rate(leaf_state&, bool ran, const pool_options&,
+// Adds the outcome of a request.
+void update_refusal_rate(leaf_state&, attempt_outcome, const pool_options&,
                          boot_time now);
-// What the end of a request says about the load of its leaf.
-enum class load_sign : std::uint8_t {
-    served,
-    refused, // for want of a slot
-    failed,  // for another reason, or not done when its time ran out
-};
-
 // Raises the concurrency limit after an answer if it is nearly used up, and
 // lowers it after a refusal or an answer whose latency indicates queueing.
 // Below one request it is lowered by refusals only: a leaf that is slow or
 // fails may have slots left.
-void adapt_concurrency_limit(leaf_state&, load_sign, duration seen,
+void adapt_concurrency_limit(leaf_state&, attempt_outcome, duration seen,
                              duration expected, const pool_options&,
                              boot_time now);
 // Gives the leaf low priority until the time.
--- a/libraries/limits/concurrency_limit.hpp
+++ b/libraries/limits/concurrency_limit.hpp
@@ -22,7 +22,7 @@
 };
 
 inline constexpr double min_concurrency = 1.0;
-// The least limit of a leaf that is paced.
+// The least limit, of a leaf that refuses every request.
 inline constexpr double min_paced_concurrency = 0.1;
 // Growth of a limit below one with each answer in time.
 inline constexpr double paced_increase_factor = 1.05;
@@ -78,9 +78,9 @@
     limit.limit = min_concurrency;
 }
 
-// Whether one more request may be sent. Without a time, pauses are ignored.
+// Whether one more request may be sent.
 inline bool admits(const concurrency_limit& limit, std::uint32_t in_flight,
-                   boot_time now = boot_time::max())
+                   boot_time now)
 {
     return now >= limit.paced_until &&
            static_cast<double>(in_flight) + 1.0 <=
--- a/libraries/targets/choice.cpp
+++ b/libraries/targets/choice.cpp
@@ -72,7 +72,8 @@
                 const leaf_requirements& requirements, context& context)
 {
     const auto& leaf = leaf_at(self, index);
-    if (leaf.idle.empty() || !limits::admits(leaf.limit, leaf.in_flight)) {
+    if (leaf.idle.empty() ||
+        !limits::admits(leaf.limit, leaf.in_flight, context.now)) {
         return false;
     }
     auto& most_recent = self.connections.at(raw(leaf.idle.back()));
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -110,6 +110,14 @@
         return made;
     }
 
+    // Publishes the next incarnation of a leaf.
+    void publish_restarted(const std::string& id, const std::string& service)
+    {
+        auto restarted = leaf(id, service);
+        restarted.incarnation = 2;
+        publish(restarted);
+    }
+
     // A route for queries over the shards s0, s1, ... with two leafs each.
     void make_query_route(std::size_t shards)
     {
--- a/tests/gateway/leaf_statements_test.cpp
+++ b/tests/gateway/leaf_statements_test.cpp
@@ -53,9 +53,7 @@
     expect_unused(first.leaf, 5, seconds{1});
     BOOST_TEST(state.pool.leafs.at(first.leaf).connections == 0U);
     // A new incarnation at the address is a new leaf.
-    auto restarted = leaf(first.leaf, "one");
-    restarted.incarnation = 2;
-    publish(restarted);
+    publish_restarted(first.leaf, "one");
     BOOST_TEST(!state.pool.leafs.at(first.leaf).leaving);
 }
 
@@ -84,9 +82,7 @@
     make_single_route(true, 1);
     send_request("/s/x");
     const auto first = only_sent();
-    auto restarted = leaf(first.leaf, "one");
-    restarted.incarnation = 2;
-    publish(restarted);
+    publish_restarted(first.leaf, "one");
     reply_leaving(first);
     BOOST_TEST(!state.pool.leafs.at(first.leaf).leaving);
 }
--- a/tests/gateway/overload_test.cpp
+++ b/tests/gateway/overload_test.cpp
@@ -10,7 +10,8 @@
 {
 
 // The leafs of a fixture: each works on one request at a time, in order, and
-// drops a request whose time has run out.
+// drops a request whose time has run out. Work and arrivals take fixed times,
+// unlike those of docs/EXPERIMENTS.md.
 struct leaf_model {
     struct job {
         send_to_leaf request;
--- a/tests/gateway/unreachable_test.cpp
+++ b/tests/gateway/unreachable_test.cpp
@@ -130,9 +130,7 @@
 {
     make_query_route(4);
     lose_for_long("s0");
-    auto restarted = leaf("s0-a", "s0");
-    restarted.incarnation = 2;
-    publish(restarted);
+    publish_restarted("s0-a", "s0");
     send_request("/q/x");
     reply_to_all();
     BOOST_TEST(take<answer_request>().empty());
@@ -141,4 +139,17 @@
     BOOST_TEST(only_answer().missing_shards == 0U);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_restarted_leaf_is_not_paced, unreachable_fixture)
+{
+    make_single_route(true, 1);
+    auto& paced = state.pool.leafs.at("one-0");
+    paced.limit.limit = limits::min_paced_concurrency;
+    paced.limit.paced_until = clock.now() + seconds{1};
+    publish_restarted("one-0", "one");
+    BOOST_TEST(paced.limit.limit == 3.0); // its slots
+    send_request("/s/x");
+    connect_requested();
+    only_sent();
+}
+
 } // namespace bulrushspring::gateway::test
--- a/tests/targets/limits_test.cpp
+++ b/tests/targets/limits_test.cpp
@@ -76,6 +76,6 @@
         answer(leaf_status::shed, 0);
     }
     BOOST_TEST(leaf.limit.limit == 1.0);
-    BOOST_TEST(limits::admits(leaf.limit, 0));
-    BOOST_TEST(!limits::admits(leaf.limit, 1));
+    BOOST_TEST(limits::admits(leaf.limit, 0, now));
+    BOOST_TEST(!limits::admits(leaf.limit, 1, now));
 }
