experiment: Use what stands for statistics, files and records

Cause: mean and deviation were written by hand where Boost has them, read_file stood in fakes already, the benchmark made the same records, and the counts by second, of refusals and of expirations were gathered but never shown. Change: Boost.Accumulators; fakes::read_file; records_of serves the model and the benchmark, whose leafs now stand in one data centre; the unused counts are gone; two comments of pattern.hpp say what the times contain. The benchmark was built, not run.

--- a/benchmarks/gateway.cpp
+++ b/benchmarks/gateway.cpp
@@ -1,4 +1,5 @@
 #include "libraries/gateway/gateway.hpp"
+#include "fakes/experiment/fleet.hpp"
 
 #include <benchmark/benchmark.h>
 
@@ -28,7 +29,15 @@
         self.data_centre = "dc-1";
         self.incarnation = 1;
         state = gateway::make_state(self, {}, settings, clock.now());
-        feed(make_records(shards));
+        experiment::pattern plan;
+        plan.shards = shards;
+        plan.leafs = 3;
+        plan.slots = 3;
+        plan.connections = 100;
+        plan.timeout = seconds{2};
+        plan.objective = milliseconds{150};
+        plan.max_leafs = 2;
+        feed(experiment::records_of(plan));
         for (int i = 0; i < 100; ++i) {
             clock.advance(milliseconds{50});
             feed(tick{});
@@ -43,41 +52,6 @@
         gateway::reduce(state, what, context);
     }
 
-    static topology::records_learned make_records(std::size_t shards)
-    {
-        topology::records_learned records;
-        records.source = "store";
-        records.revision = 1;
-        records.complete = true;
-        auto table = std::make_shared<routing::table>();
-        table->version = 1;
-        auto& route = table->routes.emplace_back();
-        route.name = "query";
-        route.host = "h";
-        route.prefix = "/";
-        route.idempotent = true;
-        route.timeout = seconds{2};
-        route.objective = milliseconds{150};
-        route.max_leafs = 2;
-        route.result_limit = 10;
-        for (std::size_t i = 0; i < shards; ++i) {
-            const auto service = "shard-" + std::to_string(i);
-            route.shards.push_back(service);
-            table->services[service] = {service, "/health", 100};
-            for (int j = 0; j < 3; ++j) {
-                routing::leaf leaf;
-                leaf.id = service + "-" + std::to_string(j);
-                leaf.service = service;
-                leaf.data_centre = "dc-" + std::to_string(j);
-                leaf.slots = 3;
-                records.records.push_back({{leaf.id, 1, false, ""}, leaf});
-            }
-        }
-        records.records.push_back(
-            {{"table", 1, false, ""}, routing::table_pointer(table)});
-        return records;
-    }
-
     void complete_opens()
     {
         const auto emitted = std::exchange(effects, {});
--- a/fakes/experiment/fleet.cpp
+++ b/fakes/experiment/fleet.cpp
@@ -57,22 +57,22 @@
     const auto found = self.queries.find(raw(answered.token));
     const auto asked = found->second;
     self.queries.erase(found);
-    if (!asked.measured) {
+    if (!asked.counted) {
         return;
     }
-    auto& second = self.result.seconds[asked.second];
+    auto& result = self.result;
     const duration took = self.now - asked.sent_at + 2 * network_latency;
     const auto& answer = answered.answer;
     if (answer.kind == gateway::answer_kind::merged) {
-        second.in_time += took <= self.plan.objective ? 1 : 0;
-        second.late += took <= self.plan.objective ? 0 : 1;
-        second.answered_parts += self.plan.shards;
-        second.covered_parts += self.plan.shards - answer.missing_shards;
-        self.result.latencies.push_back(took);
+        result.in_time += took <= self.plan.objective ? 1 : 0;
+        result.late += took <= self.plan.objective ? 0 : 1;
+        result.answered_parts += self.plan.shards;
+        result.covered_parts += self.plan.shards - answer.missing_shards;
+        result.latencies.push_back(took);
     } else if (answer.kind == gateway::answer_kind::not_run) {
-        ++second.refused;
+        ++result.refused;
     } else {
-        ++second.failed;
+        ++result.failed;
     }
 }
 
@@ -139,15 +139,10 @@
     self.actions.push({self.now + delay, ++self.last_number, std::move(run)});
 }
 
-tally* current_second(simulation& self)
+bool is_counting(const simulation& self)
 {
-    const duration measured = self.now - self.start - self.plan.warm_up;
-    if (measured < duration{0}) {
-        return nullptr;
-    }
-    const auto second = static_cast<std::size_t>(measured / seconds{1});
-    return second < self.result.seconds.size() ? &self.result.seconds[second]
-                                               : nullptr;
+    const duration counted = self.now - self.start - self.plan.warm_up;
+    return counted >= duration{0} && counted < self.plan.span;
 }
 
 void feed(simulation& self, std::size_t index, const gateway::any_event& what)
@@ -170,41 +165,13 @@
 namespace
 {
 
-void make_records(simulation& self)
+void make_leafs(simulation& self)
 {
-    auto table = std::make_shared<routing::table>();
-    table->version = 1;
-    auto& route = table->routes.emplace_back();
-    route.name = "query";
-    route.host = "h";
-    route.prefix = "/";
-    route.idempotent = true;
-    route.timeout = self.plan.timeout;
-    route.objective = self.plan.objective;
-    route.max_leafs = self.plan.max_leafs;
-    route.result_limit = 10;
-    route.minimum_coverage = self.plan.minimum_coverage;
-    self.records.source = "store";
-    self.records.revision = 1;
-    self.records.complete = true;
     for (std::size_t shard = 0; shard < self.plan.shards; ++shard) {
-        const auto service = "s" + std::to_string(shard);
-        route.shards.push_back(service);
-        table->services[service] = {service, "/health", self.plan.connections};
         for (std::size_t number = 0; number < self.plan.leafs; ++number) {
-            routing::leaf published;
-            published.id = service + "-" + std::to_string(number);
-            published.service = service;
-            published.address = leaf_address(self.leafs.size());
-            published.data_centre = "dc-1";
-            published.slots = static_cast<std::uint32_t>(self.plan.slots);
-            self.records.records.push_back(
-                {{"leaf/" + published.id, 1, false, ""}, published});
             self.leafs.push_back({shard, number});
         }
     }
-    self.records.records.push_back(
-        {{"table", 1, false, ""}, routing::table_pointer(table)});
 }
 
 void make_daemons(simulation& self)
@@ -244,12 +211,10 @@
     request->time_left = self.plan.timeout;
     auto& asked = self.queries[token];
     asked.sent_at = self.now;
-    if (auto* second = current_second(self)) {
-        ++second->asked;
-        second->parts += self.plan.shards;
-        asked.measured = true;
-        asked.second =
-            static_cast<std::size_t>(second - self.result.seconds.data());
+    if (is_counting(self)) {
+        ++self.result.asked;
+        self.result.parts += self.plan.shards;
+        asked.counted = true;
     }
     const auto to = static_cast<std::size_t>(
         random_below(self.random, self.daemons.size()));
@@ -264,36 +229,49 @@
 
 } // namespace
 
-void add(tally& to, const tally& other)
+topology::records_learned records_of(const pattern& plan)
 {
-    to.asked += other.asked;
-    to.in_time += other.in_time;
-    to.late += other.late;
-    to.refused += other.refused;
-    to.failed += other.failed;
-    to.parts += other.parts;
-    to.answered_parts += other.answered_parts;
-    to.covered_parts += other.covered_parts;
-    to.leaf_requests += other.leaf_requests;
-    to.leaf_refusals += other.leaf_refusals;
-    to.leaf_expirations += other.leaf_expirations;
-}
-
-tally total(const run_result& result)
-{
-    tally sum;
-    for (const auto& each : result.seconds) {
-        add(sum, each);
+    topology::records_learned records;
+    records.source = "store";
+    records.revision = 1;
+    records.complete = true;
+    auto table = std::make_shared<routing::table>();
+    table->version = 1;
+    auto& route = table->routes.emplace_back();
+    route.name = "query";
+    route.host = "h";
+    route.prefix = "/";
+    route.idempotent = true;
+    route.timeout = plan.timeout;
+    route.objective = plan.objective;
+    route.max_leafs = plan.max_leafs;
+    route.result_limit = 10;
+    route.minimum_coverage = plan.minimum_coverage;
+    for (std::size_t shard = 0; shard < plan.shards; ++shard) {
+        const auto service = "s" + std::to_string(shard);
+        route.shards.push_back(service);
+        table->services[service] = {service, "/health", plan.connections};
+        for (std::size_t number = 0; number < plan.leafs; ++number) {
+            routing::leaf leaf;
+            leaf.id = service + "-" + std::to_string(number);
+            leaf.service = service;
+            leaf.address = leaf_address(shard * plan.leafs + number);
+            leaf.data_centre = "dc-1";
+            leaf.slots = static_cast<std::uint32_t>(plan.slots);
+            records.records.push_back(
+                {{"leaf/" + leaf.id, 1, false, ""}, leaf});
+        }
     }
-    return sum;
+    records.records.push_back(
+        {{"table", 1, false, ""}, routing::table_pointer(table)});
+    return records;
 }
 
 run_result play(const pattern& plan, std::uint64_t seed)
 {
     simulation self{plan, random_source{seed}};
-    self.result.seconds.resize(
-        static_cast<std::size_t>(plan.span / seconds{1}));
-    make_records(self);
+    self.records = records_of(plan);
+    make_leafs(self);
     make_daemons(self);
     schedule_faults(self);
     for (std::size_t i = 0; i < self.daemons.size(); ++i) {
@@ -309,8 +287,8 @@
         next.run();
     }
     for (const auto& [token, asked] : self.queries) {
-        if (asked.measured) {
-            ++self.result.seconds[asked.second].failed;
+        if (asked.counted) {
+            ++self.result.failed;
         }
     }
     std::sort(self.result.latencies.begin(), self.result.latencies.end());
--- a/fakes/experiment/fleet.hpp
+++ b/fakes/experiment/fleet.hpp
@@ -2,6 +2,7 @@
 #define BULRUSHSPRING_FAKES_EXPERIMENT_FLEET_HPP
 
 #include "fakes/experiment/pattern.hpp"
+#include "libraries/topology/topology.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -12,30 +13,22 @@
 namespace bulrushspring::experiment
 {
 
-// What callers and leafs saw in one second, or in a whole run.
-struct tally {
+// What callers and leafs saw after the warm-up.
+struct run_result {
     std::uint64_t asked = 0;
     std::uint64_t in_time = 0; // answered within the objective
     std::uint64_t late = 0;    // answered later
     std::uint64_t refused = 0; // with "not run"
     std::uint64_t failed = 0;
-    std::uint64_t parts = 0;            // of all queries
-    std::uint64_t answered_parts = 0;   // of the answered queries
-    std::uint64_t covered_parts = 0;    // of those
-    std::uint64_t leaf_requests = 0;    // that reached a leaf
-    std::uint64_t leaf_refusals = 0;    // for want of a place in the queue
-    std::uint64_t leaf_expirations = 0; // queued or running at their deadline
-};
-
-void add(tally& to, const tally& other);
-
-struct run_result {
-    std::vector<tally> seconds;      // without the warm-up
-    std::vector<duration> latencies; // of the answers, ascending
+    std::uint64_t parts = 0;          // of all queries
+    std::uint64_t answered_parts = 0; // of the answered queries
+    std::uint64_t covered_parts = 0;  // of those
+    std::uint64_t leaf_requests = 0;  // that reached a leaf
+    std::vector<duration> latencies;  // of the answers, ascending
 };
 
-// Sums up the seconds of a run.
-tally total(const run_result&);
+// The records of a store that holds the pattern's route and leafs.
+topology::records_learned records_of(const pattern&);
 
 // Plays a pattern once; the seed determines arrivals, work times and the
 // daemons' random choices.
--- a/fakes/experiment/leafs.cpp
+++ b/fakes/experiment/leafs.cpp
@@ -64,9 +64,6 @@
         leaf.queue.pop_front();
         const duration work = draw_work(self, leaf);
         const bool in_time = self.now + work <= next.until;
-        if (auto* second = current_second(self); second && !in_time) {
-            ++second->leaf_expirations;
-        }
         if (next.until <= self.now) {
             reply(self, next, timed_out, false);
             continue;
@@ -114,19 +111,13 @@
 {
     constexpr unsigned unavailable = 503;
     auto& leaf = self.leafs[index];
-    auto* second = current_second(self);
     if (is_down(self, leaf)) {
         disconnect(self, request.daemon, request.connection);
         return;
     }
-    if (second != nullptr) {
-        ++second->leaf_requests;
-    }
+    self.result.leaf_requests += is_counting(self) ? 1 : 0;
     if (leaf.running >= self.plan.slots &&
         leaf.queue.size() >= self.plan.queue) {
-        if (second != nullptr) {
-            ++second->leaf_refusals;
-        }
         reply(self, request, unavailable, true);
         return;
     }
--- a/fakes/experiment/pattern.hpp
+++ b/fakes/experiment/pattern.hpp
@@ -46,8 +46,8 @@
     std::uint32_t max_leafs = 1;
     double extra_share = 0.0; // budget: extra attempts per first attempt
     double queries_per_second = 0.0;
-    duration warm_up{0}; // not measured
-    duration span{0};    // measured
+    duration warm_up{0}; // before the queries that the results count
+    duration span{0};    // in which those are sent
     std::vector<leaf_fault> faults;
 };
 
--- a/fakes/experiment/report.cpp
+++ b/fakes/experiment/report.cpp
@@ -4,6 +4,10 @@
 
 #include <algorithm>
 #include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/variance.hpp>
 #include <cmath>
 
 namespace bulrushspring::experiment
@@ -49,54 +53,46 @@
 template <typename Measure>
 spread over_runs(std::span<const run_result> runs, Measure measure)
 {
-    std::vector<double> values;
+    namespace acc = boost::accumulators;
+    acc::accumulator_set<double, acc::stats<acc::tag::mean, acc::tag::variance>>
+        values;
     for (const auto& run : runs) {
-        values.push_back(measure(run, total(run)));
+        values(measure(run));
     }
-    const auto count = static_cast<double>(values.size());
-    spread found;
-    for (const double each : values) {
-        found.mean += each / count;
-    }
-    for (const double each : values) {
-        found.deviation += (each - found.mean) * (each - found.mean);
-    }
-    found.deviation =
-        count > 1 ? std::sqrt(found.deviation / (count - 1)) : 0.0;
-    return found;
+    const auto count = static_cast<double>(runs.size());
+    // Of a sample rather than of the whole population.
+    const double variance =
+        count > 1 ? acc::variance(values) * count / (count - 1) : 0.0;
+    return {acc::mean(values), std::sqrt(variance)};
 }
 
 } // namespace
 
 summary summarize(std::string pattern, std::span<const run_result> runs)
 {
+    const auto share = [&](std::uint64_t run_result::*part,
+                           std::uint64_t run_result::*whole) {
+        return over_runs(runs, [=](const run_result& run) {
+            return ratio(run.*part, run.*whole);
+        });
+    };
+    const auto latency = [&](double fraction) {
+        return over_runs(runs, [=](const run_result& run) {
+            return quantile_ms(run, fraction);
+        });
+    };
     summary made;
     made.pattern = std::move(pattern);
     made.seeds = runs.size();
-    made.in_time = over_runs(runs, [](const auto&, const tally& sum) {
-        return ratio(sum.in_time, sum.asked);
-    });
-    made.late = over_runs(runs, [](const auto&, const tally& sum) {
-        return ratio(sum.late, sum.asked);
-    });
-    made.refused = over_runs(runs, [](const auto&, const tally& sum) {
-        return ratio(sum.refused, sum.asked);
-    });
-    made.failed = over_runs(runs, [](const auto&, const tally& sum) {
-        return ratio(sum.failed, sum.asked);
-    });
-    made.coverage = over_runs(runs, [](const auto&, const tally& sum) {
-        return ratio(sum.covered_parts, sum.answered_parts);
-    });
-    made.leaf_requests = over_runs(runs, [](const auto&, const tally& sum) {
-        return ratio(sum.leaf_requests, sum.parts);
-    });
-    made.median_ms = over_runs(runs, [](const run_result& run, const tally&) {
-        return quantile_ms(run, 0.5);
-    });
-    made.p99_ms = over_runs(runs, [](const run_result& run, const tally&) {
-        return quantile_ms(run, 0.99);
-    });
+    made.in_time = share(&run_result::in_time, &run_result::asked);
+    made.late = share(&run_result::late, &run_result::asked);
+    made.refused = share(&run_result::refused, &run_result::asked);
+    made.failed = share(&run_result::failed, &run_result::asked);
+    made.coverage =
+        share(&run_result::covered_parts, &run_result::answered_parts);
+    made.leaf_requests = share(&run_result::leaf_requests, &run_result::parts);
+    made.median_ms = latency(0.5);
+    made.p99_ms = latency(0.99);
     return made;
 }
 
--- a/fakes/experiment/simulation.hpp
+++ b/fakes/experiment/simulation.hpp
@@ -53,8 +53,7 @@
 
 struct query {
     boot_time sent_at{};
-    std::size_t second = 0;
-    bool measured = false;
+    bool counted = false; // in the result
 };
 
 struct timed_action {
@@ -88,8 +87,8 @@
 // Performs an action after the delay.
 void after(simulation&, duration delay, std::function<void()> run);
 
-// The current second of the measured time; null during the warm-up.
-tally* current_second(simulation&);
+// Whether the warm-up has ended, and the time of the queries has not.
+bool is_counting(const simulation&);
 
 // Delivers an event to a daemon and carries out its effects.
 void feed(simulation&, std::size_t daemon, const gateway::any_event&);
--- a/tests/experiment/experiment_test.cpp
+++ b/tests/experiment/experiment_test.cpp
@@ -1,9 +1,8 @@
 #include "fakes/experiment/report.hpp"
+#include "fakes/http/server.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 
 namespace bulrushspring::experiment::test
 {
@@ -11,19 +10,12 @@
 namespace
 {
 
-std::string read_file(const std::filesystem::path& path)
-{
-    std::ostringstream content;
-    content << std::ifstream(path).rdbuf();
-    return content.str();
-}
-
 pattern example(const std::string& name)
 {
     const auto path = std::filesystem::path(BULRUSHSPRING_SOURCE_FOLDER
                                             "/examples/patterns") /
                       (name + ".ini");
-    return parse_pattern(read_file(path)).value();
+    return parse_pattern(fakes::read_file(path.string()).value()).value();
 }
 
 } // namespace
@@ -32,8 +24,10 @@
 {
     for (const auto& each : std::filesystem::directory_iterator(
              BULRUSHSPRING_SOURCE_FOLDER "/examples/patterns")) {
-        BOOST_TEST(!parse_pattern(read_file(each.path())).has_error(),
-                   each.path().string());
+        BOOST_TEST(
+            !parse_pattern(fakes::read_file(each.path().string()).value())
+                 .has_error(),
+            each.path().string());
     }
 }
 
@@ -69,7 +63,7 @@
 {
     for (const char* name : {"shard-down", "stragglers"}) {
         const auto plan = example(name);
-        const auto sum = total(play(plan, 1));
+        const auto sum = play(plan, 1);
         BOOST_TEST(static_cast<double>(sum.in_time) >=
                    0.95 * static_cast<double>(sum.asked));
         BOOST_TEST(static_cast<double>(sum.leaf_requests) <=
--- a/utilities/experiment.cpp
+++ b/utilities/experiment.cpp
@@ -1,12 +1,11 @@
 #include "fakes/experiment/report.hpp"
+#include "fakes/http/server.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 ABSL_FLAG(std::uint64_t, seed, 1, "Random seed of the first run.");
 ABSL_FLAG(std::size_t, runs, 5, "Runs of each pattern; each has a new seed.");
@@ -20,17 +19,6 @@
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 
-result<std::string> read_file(const std::string& path)
-{
-    std::ifstream file(path);
-    std::ostringstream content;
-    content << file.rdbuf();
-    if (!file) {
-        return error{errc::not_found, "read", path, "not a readable file"};
-    }
-    return content.str();
-}
-
 int report_error(std::string_view message, int code)
 {
     std::cerr << message << '\n';
@@ -41,7 +29,7 @@
 {
     std::vector<experiment::summary> summaries;
     for (const std::string path : paths) {
-        const auto content = read_file(path);
+        const auto content = fakes::read_file(path);
         if (content.has_error()) {
             return report_error(to_string(content.error()), exit_usage);
         }
@@ -77,7 +65,7 @@
 {
     std::vector<std::vector<experiment::summary>> reports;
     for (const std::string path : paths) {
-        const auto content = read_file(path);
+        const auto content = fakes::read_file(path);
         if (content.has_error()) {
             return report_error(to_string(content.error()), exit_failed);
         }
