--- a/meta/bulrushspring.sh
+++ b/meta/bulrushspring.sh
@@ -41,7 +41,16 @@
     cmake --build "$build" -j "$jobs"
 }
 
+# The known failures, which CMakeLists.txt excludes from the tests.
+print_known_red() {
+    if [ -s "$top/KNOWN-RED.txt" ]; then
+        echo "Passed over, known to fail (KNOWN-RED.txt):"
+        cat "$top/KNOWN-RED.txt"
+    fi
+}
+
 run_tests() {
+    print_known_red
     ctest --test-dir "$build" --output-on-failure -j "$jobs"
 }
 
