gateway_shell: Log what is unfinished when the process ends

Cause: the log could not tell apart whether a stopping daemon takes requests after E8004, does not send its last answers, or cuts requests early: nothing was written at the exit. Change: E1103 process_ended counts the callers' requests that were read and get no answer, and the answers that were not completely sent.

--- a/libraries/gateway_shell/events.hpp
+++ b/libraries/gateway_shell/events.hpp
@@ -18,7 +18,14 @@
     "Input from the network could not be decoded and was dropped. Check the "
     "peer that sent it."};
 
-inline constexpr std::array all_events = {&settings_read, &input_unreadable};
+inline constexpr event_definition process_ended{
+    1103, severity::info, "process_ended", "unanswered unsent",
+    "The process ends. `unanswered` counts callers' requests that were read "
+    "and get no answer, `unsent` answers that were not completely sent; both "
+    "are 0 after a planned stop."};
+
+inline constexpr std::array all_events = {&settings_read, &input_unreadable,
+                                          &process_ended};
 
 } // namespace bulrushspring::gateway_shell
 
--- a/libraries/gateway_shell/runner.cpp
+++ b/libraries/gateway_shell/runner.cpp
@@ -192,6 +192,11 @@
 {
     post(tick{});
     event_base_dispatch(base_.get());
+    log_.write(make_record(
+                   process_ended,
+                   field("unanswered", caller_server_->unanswered()),
+                   field("unsent", caller_server_->unsent())),
+               clock_.now());
     log_.flush();
 }
 
--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -1,5 +1,6 @@
 #include "libraries/http/server.hpp"
 
+#include <algorithm>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -41,6 +42,14 @@
 
 server::~server() = default;
 
+std::size_t server::count(phase state) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(open_.begin(), open_.end(), [state](const auto& each) {
+            return each.second->state == state;
+        }));
+}
+
 result<std::unique_ptr<server>>
 server::listen(event_base* base, const endpoint& address, server_events events)
 {
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -62,6 +62,11 @@
 
     std::size_t connections() const { return open_.size(); }
 
+    // The number of requests that await their answer, and of answers that are
+    // not completely sent.
+    std::size_t unanswered() const { return count(phase::answering); }
+    std::size_t unsent() const { return count(phase::flushing); }
+
 private:
     // reading: waits for or receives a request. answering: waits for the
     // owner's answer. flushing: sends it. lingering: discards input until the
@@ -72,6 +77,7 @@
         std::unordered_map<std::uint64_t, std::unique_ptr<connection>>;
 
     server(event_base* base, server_events events);
+    std::size_t count(phase state) const;
     static void on_accept(evconnlistener* listener, evutil_socket_t socket,
                           sockaddr* from, int size, void* self);
     static void on_read(bufferevent* buffer, void* argument);
