--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -1,5 +1,6 @@
 #include "libraries/http/server.hpp"
 
+#include <algorithm>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -35,12 +36,21 @@
 
 server::server(event_base* base, server_events events)
     : base_(base), events_(std::move(events)),
-      deferred_free_(event_new(base, -1, 0, on_free_retired, this))
+      deferred_free_(event_new(base, -1, 0, on_free_retired, this)),
+      deferred_finish_(event_new(base, -1, 0, on_finish, this))
 {
 }
 
 server::~server() = default;
 
+std::size_t server::count(phase state) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(open_.begin(), open_.end(), [state](const auto& each) {
+            return each.second->state == state;
+        }));
+}
+
 result<std::unique_ptr<server>>
 server::listen(event_base* base, const endpoint& address, server_events events)
 {
@@ -272,7 +282,46 @@
 void server::on_free_retired(evutil_socket_t /*socket*/, short /*what*/,
                              void* self)
 {
-    static_cast<server*>(self)->retired_.clear();
+    auto& owner = *static_cast<server*>(self);
+    owner.retired_.clear();
+    owner.report_if_finished();
+}
+
+void server::finish(std::function<void()> finished)
+{
+    finished_ = std::move(finished);
+    closing_ = true;
+    // Input that has arrived by now is read before the timeout is handled.
+    const timeval at_once{};
+    event_add(deferred_finish_.get(), &at_once);
+}
+
+void server::on_finish(evutil_socket_t /*socket*/, short /*what*/, void* self)
+{
+    auto& owner = *static_cast<server*>(self);
+    owner.listener_.reset();
+    owner.close_idle();
+    owner.report_if_finished();
+}
+
+void server::close_idle()
+{
+    std::vector<connection*> idle;
+    for (const auto& [id, each] : open_) {
+        if (each->state == phase::reading && !each->parser.begun()) {
+            idle.push_back(each.get());
+        }
+    }
+    for (auto* each : idle) {
+        retire(*each);
+    }
+}
+
+void server::report_if_finished()
+{
+    if (finished_ && !listener_ && open_.empty()) {
+        std::exchange(finished_, nullptr)();
+    }
 }
 
 } // namespace bulrushspring::http
