shell: Send the last answers of a planned stop before the process ends

Cause: bulrushspringd ended its event loop in the turn that made the last answer. What the socket did not take at once was lost, and so was a request that arrived in that turn. Why it works: caller_server counts the answers that are not completely sent; the loop ends when there is none and no request is left, at the latest after 1 s.

--- a/libraries/shell/caller_server.cpp
+++ b/libraries/shell/caller_server.cpp
@@ -157,8 +157,9 @@
 
 } // namespace
 
-caller_server::caller_server(sink out, http_handle server)
-    : sink_(std::move(out)), server_(std::move(server))
+caller_server::caller_server(event_base* base, sink out, http_handle server)
+    : sink_(std::move(out)), server_(std::move(server)),
+      deferred_finish_(event_new(base, -1, 0, on_finish, this))
 {
     evhttp_set_gencb(server_.get(), on_request, this);
 }
@@ -177,7 +178,7 @@
 {
     TRY(server, listen_http(base, address, max_request_body_bytes));
     return std::unique_ptr<caller_server>(
-        new caller_server(std::move(out), std::move(server)));
+        new caller_server(base, std::move(out), std::move(server)));
 }
 
 void caller_server::on_request(evhttp_request* request, void* self)
@@ -277,8 +278,8 @@
     add_header(request, "Bulrushspring-Run",
                std::string(client::to_string(effect.answer.run)));
     add_retry_after(request, effect.answer.retry_after);
-    reply(request, http_status(effect.answer), json_content_type,
-          client::answer_json(effect.answer));
+    send(request, http_status(effect.answer),
+         client::answer_json(effect.answer));
 }
 
 void caller_server::carry_out(const answer_addresses& effect)
@@ -288,7 +289,48 @@
         return;
     }
     const int status = effect.answer.entries.empty() ? 503 : 200;
-    reply(request, status, json_content_type, to_json(effect.answer));
+    send(request, status, to_json(effect.answer));
+}
+
+void caller_server::send(evhttp_request* request, int status,
+                         std::string_view body)
+{
+    if (evhttp_request_get_connection(request) != nullptr) {
+        ++unsent_;
+        evhttp_request_set_on_complete_cb(request, on_sent, this);
+    }
+    reply(request, status, json_content_type, body);
+}
+
+void caller_server::on_sent(evhttp_request* /*request*/, void* self)
+{
+    auto& server = *static_cast<caller_server*>(self);
+    --server.unsent_;
+    server.report_if_finished();
+}
+
+void caller_server::finish(std::function<void()> finished)
+{
+    finished_ = std::move(finished);
+    closing_ = true;
+    // Requests that have arrived by now are read before the timeout is handled.
+    const timeval at_once{};
+    event_add(deferred_finish_.get(), &at_once);
+}
+
+void caller_server::on_finish(evutil_socket_t /*socket*/, short /*what*/,
+                              void* self)
+{
+    auto& server = *static_cast<caller_server*>(self);
+    server.finishing_ = true;
+    server.report_if_finished();
+}
+
+void caller_server::report_if_finished()
+{
+    if (finishing_ && finished_ && pending_.empty() && unsent_ == 0) {
+        std::exchange(finished_, nullptr)();
+    }
 }
 
 } // namespace bulrushspring::shell
--- a/libraries/shell/caller_server.hpp
+++ b/libraries/shell/caller_server.hpp
@@ -5,6 +5,7 @@
 #include "libraries/shell/http.hpp"
 #include "libraries/shell/sink.hpp"
 
+#include <functional>
 #include <unordered_map>
 
 namespace bulrushspring::shell
@@ -32,10 +33,19 @@
     // to another entry.
     void close_after_answers() { closing_ = true; }
 
+    // Stops accepting connections, and calls `finished` once the requests that
+    // Calls `finished` once the requests that have arrived are answered and the
+    // answers sent. Callers that don't read theirs delay it without a limit.
+    void finish(std::function<void()> finished);
+
 private:
-    caller_server(sink out, http_handle server);
+    caller_server(event_base* base, sink out, http_handle server);
     static void on_request(evhttp_request* request, void* self);
     static void on_close(evhttp_connection* connection, void* self);
+    static void on_sent(evhttp_request* request, void* self);
+    static void on_finish(evutil_socket_t socket, short what, void* self);
+    void send(evhttp_request* request, int status, std::string_view body);
+    void report_if_finished();
     // Stores the request until it is answered and watches its connection.
     caller_token register_request(evhttp_request* request);
     // Removes a stored request; null if the token is unknown.
@@ -49,6 +59,10 @@
     std::uint64_t last_token_ = 0;
     bool closing_ = false;
     std::unordered_map<caller_token, evhttp_request*> pending_;
+    std::size_t unsent_ = 0; // answers that are not completely sent
+    event_handle deferred_finish_;
+    bool finishing_ = false;
+    std::function<void()> finished_;
     std::unordered_map<evhttp_connection*, caller_token> connections_;
 };
 
--- a/libraries/shell/runner.cpp
+++ b/libraries/shell/runner.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+// How long the last answers of a planned stop may take to be sent.
+constexpr seconds max_sending_time{1};
+
 // Returns the incarnation number of this process: microseconds of the wall
 // clock. Each incarnation of a VM's daemon needs a higher number than the one
 // before, also after a reboot, which the boot clock can't provide.
@@ -211,7 +214,10 @@
     } else if (const auto* span = std::get_if<record_duration>(&what)) {
         metrics::record(metrics_, span->histogram, span->value);
     } else if (std::holds_alternative<stop_process>(what)) {
-        event_base_loopexit(base_.get(), nullptr);
+        // A caller that doesn't read its answer must not delay the end.
+        const timeval limit = to_timeval(max_sending_time);
+        event_base_loopexit(base_.get(), &limit);
+        callers_->finish([this] { event_base_loopbreak(base_.get()); });
     }
 }
 
