soak: Callers that use a kept connection until the process is gone

Cause that the soak was blind: its callers pause for at most 25 ms and leave a connection at the first answer that closes it, so none sent a request late in a stop. Change: late_callers belong to one daemon each, ignore the directory, stay idle for up to 7 s and send until the process is gone; a cut counts as lost if a leaf ran the request or the cut came over 200 ms after the last byte.

--- a/fakes/site/site.cpp
+++ b/fakes/site/site.cpp
@@ -217,6 +217,7 @@
         _exit(127);
     }
     node.stopping = false;
+    node.overdue = false;
     node.paused = false;
     node.proven_version = 0;
 }
--- a/fakes/site/site.hpp
+++ b/fakes/site/site.hpp
@@ -27,7 +27,9 @@
     std::uint32_t address = 0;
     pid_t process = -1;
     std::unique_ptr<proxy> store_link;
-    bool stopping = false; // SIGTERM has been sent
+    bool stopping = false;  // SIGTERM has been sent
+    boot_time stopped_at{}; // the time of the first SIGTERM
+    bool overdue = false;   // ran longer after SIGTERM than it may
     bool paused = false;
     // Failures that callers see before this time may be caused by injected
     // faults and do not count as violations.
--- a/fakes/site/soak.cpp
+++ b/fakes/site/soak.cpp
@@ -11,6 +11,8 @@
 constexpr seconds recovery_limit{12}; // required by the users
 // How long after an injected fault a daemon may still cause failures.
 constexpr milliseconds settling_time{4000};
+// bounds.graceS, as site.cpp writes it into the daemons' settings.
+constexpr seconds stop_grace{6};
 // Service has recovered when this many of the last 100 requests succeeded.
 constexpr std::size_t min_recent_successes = 90;
 
@@ -20,6 +22,7 @@
     const soak_options& options;
     installation site;
     callers load;
+    late_callers late;
     random_source random;
     system_boot_clock clock;
     boot_time began = clock.now();
@@ -29,6 +32,7 @@
     soak(event_base* loop, const soak_options& settings)
         : base(loop), options(settings), site(loop, settings.site),
           load(loop, site, settings.callers, settings.site.seed + 1),
+          late(loop, site, settings.late_callers, settings.site.seed + 2),
           random(settings.site.seed)
     {
     }
@@ -89,6 +93,16 @@
         if (!site.reap()) {
             report.violations.emplace_back("daemon exited unexpectedly");
         }
+        for (auto& each : site.daemons) {
+            if (each.process > 0 && each.stopping && !each.overdue &&
+                clock.now() > each.stopped_at + stop_grace &&
+                clock.now() > each.disturbed_until) {
+                each.overdue = true;
+                report.violations.push_back("still running " +
+                                            std::to_string(stop_grace.count()) +
+                                            " s after SIGTERM: " + each.name);
+            }
+        }
         for (const auto& each : site.leafs) {
             if (each.server->connections() > site.connection_limit) {
                 report.violations.push_back(
@@ -117,26 +131,62 @@
         });
     }
 
-    void stop_or_kill()
+    // Sends SIGTERM, in a third of the cases again with SIGHUP.
+    void stop(std::size_t number)
     {
-        const auto number = random_index(site.daemons.size());
         auto& node = site.daemons[number];
-        if (node.process < 0) {
+        if (node.process < 0 || node.stopping) {
             return;
         }
-        const bool planned = random_index(2) == 0;
-        log_fault((planned ? "stop " : "kill ") + node.name);
-        if (planned) {
-            node.stopping = true;
+        log_fault("stop " + node.name);
+        node.stopping = true;
+        node.stopped_at = clock.now();
+        site.signal(node, SIGTERM);
+        if (random_index(3) == 0) {
+            site.signal(node, SIGHUP);
             site.signal(node, SIGTERM);
-            if (random_index(3) == 0) {
-                site.signal(node, SIGHUP);
-                site.signal(node, SIGTERM);
+        }
+        restart_later(number,
+                      random_duration(milliseconds{300}, milliseconds{1500}));
+    }
+
+    // Stops, SIGHUPs and changes that overlap: a stop of one daemon or of most
+    // of them within a second, a SIGHUP with a stop soon after, or versions.
+    void inject_planned_work()
+    {
+        const auto number = random_index(site.daemons.size());
+        const auto kind = random_index(6);
+        if (kind < 2) {
+            stop(number);
+        } else if (kind == 2) {
+            log_fault("SIGHUP to " + site.daemons[number].name);
+            site.signal(site.daemons[number], SIGHUP);
+            schedule(random_duration(milliseconds{0}, milliseconds{500}),
+                     [this, number] { stop(number); });
+        } else if (kind == 3) {
+            for (std::size_t i = 1; i < site.daemons.size(); ++i) {
+                schedule(random_duration(milliseconds{0}, milliseconds{1000}),
+                         [this, i] { stop(i); });
             }
         } else {
-            mark_disturbed(node, seconds{2});
-            site.signal(node, SIGKILL);
+            change_configuration();
+        }
+    }
+
+    void stop_or_kill()
+    {
+        const auto number = random_index(site.daemons.size());
+        auto& node = site.daemons[number];
+        if (node.process < 0) {
+            return;
+        }
+        if (random_index(2) == 0) {
+            stop(number);
+            return;
         }
+        log_fault("kill " + node.name);
+        mark_disturbed(node, seconds{2});
+        site.signal(node, SIGKILL);
         restart_later(number,
                       random_duration(milliseconds{300}, milliseconds{1500}));
     }
@@ -314,7 +364,7 @@
         run_for(warm_up);
         const boot_time end = clock.now() + options.fault_duration;
         while (clock.now() < end) {
-            inject_fault();
+            options.planned_only ? inject_planned_work() : inject_fault();
             run_for(random_duration(milliseconds{100}, milliseconds{700}));
         }
         clear_faults();
@@ -331,12 +381,17 @@
                 " of the last 100 requests succeeded");
         }
         load.stop_sending();
+        late.stop_sending();
         run_for(seconds{3});
         load.check_executions();
         report.violations.insert(report.violations.end(),
                                  load.violations().begin(),
                                  load.violations().end());
+        const auto lost = late.lost_requests();
+        report.violations.insert(report.violations.end(), lost.begin(),
+                                 lost.end());
         report.tally = load.tally();
+        report.late = late.tally();
         report.store_calls = site.platform_store.calls();
     }
 };
--- a/fakes/site/soak.hpp
+++ b/fakes/site/soak.hpp
@@ -2,6 +2,7 @@
 #define BULRUSHSPRING_FAKES_SITE_SOAK_HPP
 
 #include "fakes/site/callers.hpp"
+#include "fakes/site/late_callers.hpp"
 
 namespace bulrushspring::site
 {
@@ -9,6 +10,8 @@
 struct soak_options {
     site_options site;
     std::size_t callers = 12;
+    std::size_t late_callers = 40; // of each daemon
+    bool planned_only = false;     // inject only stops, SIGHUPs and changes
     duration fault_duration = seconds{20}; // how long faults are injected
 };
 
@@ -16,6 +19,7 @@
     std::vector<std::string> violations;
     std::vector<std::string> faults; // each injected fault, with its time
     caller_tally tally;
+    late_tally late;
     std::size_t store_calls = 0; // requests that the store received
 };
 
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -10,7 +10,8 @@
 namespace
 {
 
-site::soak_report run_with(std::uint64_t seed, duration fault_duration)
+site::soak_report run_with(std::uint64_t seed, duration fault_duration,
+                           bool planned_only = false)
 {
     std::signal(SIGPIPE, SIG_IGN);
     site::soak_options options;
@@ -22,6 +23,8 @@
         std::string(BULRUSHSPRING_BINARY_FOLDER) + "/bulrushspring-platformd";
     options.site.folder = directory.string();
     options.site.seed = seed;
+    options.planned_only = planned_only;
+    options.late_callers = planned_only ? 150 : 40;
     options.fault_duration = fault_duration;
     return site::run_soak(options);
 }
@@ -55,3 +58,13 @@
 {
     check_report(run_with(2, seconds{8}));
 }
+
+// A daemon that has finished its stop took requests on connections that callers
+// had kept idle, and ended without an answer to them. Callers here use their
+// connections until the process is gone, during stops and changes in series.
+BOOST_AUTO_TEST_CASE(a_stopping_daemon_loses_no_request_on_a_kept_connection)
+{
+    const auto report = run_with(3, seconds{8}, true);
+    check_report(report);
+    BOOST_TEST(report.late.answered > 0U);
+}
--- a/utilities/soak.cpp
+++ b/utilities/soak.cpp
@@ -14,6 +14,11 @@
 ABSL_FLAG(std::size_t, shards, 4, "Number of shards of the index.");
 ABSL_FLAG(std::size_t, callers, 12,
           "Number of callers; each has one request outstanding at a time.");
+ABSL_FLAG(std::size_t, late_callers, 40,
+          "Number of callers of each daemon that keep connections idle and use "
+          "them until the process is gone.");
+ABSL_FLAG(bool, planned_only, false,
+          "Inject only planned stops, SIGHUPs and changes of configuration.");
 ABSL_FLAG(std::uint64_t, seconds, 20,
           "Duration of the fault injection in seconds.");
 ABSL_FLAG(std::string, program, "bulrushspring-platformd",
@@ -54,6 +59,8 @@
     options.site.shards = absl::GetFlag(FLAGS_shards);
     options.site.seed = seed;
     options.callers = absl::GetFlag(FLAGS_callers);
+    options.late_callers = absl::GetFlag(FLAGS_late_callers);
+    options.planned_only = absl::GetFlag(FLAGS_planned_only);
     options.fault_duration = seconds{absl::GetFlag(FLAGS_seconds)};
     return options;
 }
@@ -66,9 +73,11 @@
     std::cout << "seed " << seed << ": " << report.violations.size()
               << " violations; " << tally.sent << " asked, " << tally.succeeded
               << " succeeded, " << tally.refused << " refused, " << tally.failed
-              << " failed, " << tally.interrupted << " cut; "
-              << report.faults.size() << " faults; " << report.store_calls
-              << " store calls\n";
+              << " failed, " << tally.interrupted
+              << " cut; late: " << report.late.sent << " asked, "
+              << report.late.answered << " answered, " << report.late.cut
+              << " cut; " << report.faults.size() << " faults; "
+              << report.store_calls << " store calls\n";
     if (report.violations.empty()) {
         return true;
     }
