poison: Tell which requests crash the leafs that run them

Change: a table of crashes by a request's fingerprint. Reports of peers merge in any order. Nothing uses it yet.

--- /dev/null
+++ b/libraries/poison/poison.cpp
@@ -0,0 +1,219 @@
+#include "libraries/poison/poison.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace bulrushspring::poison
+{
+namespace
+{
+
+std::uint64_t raw(fingerprint of)
+{
+    return static_cast<std::uint64_t>(of);
+}
+
+const record* find(const state& self, fingerprint of)
+{
+    const auto found = self.records.find(raw(of));
+    return found == self.records.end() ? nullptr : &found->second;
+}
+
+// Makes room for another record: erases the one with the fewest crashes, and of
+// these the one not seen for longest.
+void evict_one(state& self)
+{
+    const auto least = std::min_element(
+        self.records.begin(), self.records.end(),
+        [](const auto& one, const auto& other) {
+            const auto rank = [](const record& of) {
+                return std::pair{consecutive_crashes(of), of.seen_at};
+            };
+            return rank(one.second) < rank(other.second);
+        });
+    self.records.erase(least);
+}
+
+record& find_or_add(state& self, fingerprint of)
+{
+    const bool known = self.records.count(raw(of)) > 0;
+    if (!known && self.records.size() >= self.settings.max_records) {
+        evict_one(self);
+    }
+    return self.records[raw(of)];
+}
+
+void discard_crashes_before_answer(record& of)
+{
+    std::erase_if(of.crashes, [&](const crash& each) {
+        return each.sent_at < of.answered_at;
+    });
+}
+
+bool insert(record& into, const crash& added, std::size_t max_kept)
+{
+    const auto same = [&](const crash& each) {
+        return each.leaf_process == added.leaf_process;
+    };
+    if (added.sent_at < into.answered_at ||
+        std::any_of(into.crashes.begin(), into.crashes.end(), same)) {
+        return false;
+    }
+    const auto ends_later = [](const crash& one, const crash& other) {
+        return one.ended_at < other.ended_at;
+    };
+    into.crashes.insert(std::upper_bound(into.crashes.begin(),
+                                         into.crashes.end(), added, ends_later),
+                        added);
+    if (into.crashes.size() <= max_kept) {
+        return true;
+    }
+    const bool last = into.crashes.back().leaf_process == added.leaf_process;
+    into.crashes.pop_back();
+    return !last;
+}
+
+// Ages in messages, in milliseconds.
+constexpr std::uint32_t never = std::numeric_limits<std::uint32_t>::max();
+
+std::uint32_t age_of(boot_time at, boot_time now)
+{
+    if (at == boot_time::min()) {
+        return never;
+    }
+    const auto age = std::max<std::int64_t>(to_milliseconds(now - at), 0);
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(age, never - 1));
+}
+
+boot_time time_of(std::uint32_t age, boot_time now)
+{
+    return age == never ? boot_time::min() : now - milliseconds{age};
+}
+
+} // namespace
+
+std::uint32_t consecutive_crashes(const record& of)
+{
+    std::uint32_t count = 0;
+    boot_time ended_at = boot_time::min();
+    for (const auto& each : of.crashes) { // ordered by their ends
+        if (each.sent_at >= ended_at) {
+            ++count;
+            ended_at = each.ended_at;
+        }
+    }
+    return count;
+}
+
+bool add_crash(state& self, fingerprint of, const crash& added, boot_time now)
+{
+    auto& into = find_or_add(self, of);
+    into.seen_at = std::max(into.seen_at, now);
+    return insert(into, added, self.settings.max_crashes_kept);
+}
+
+bool add_answer(state& self, fingerprint of, boot_time now)
+{
+    const auto found = self.records.find(raw(of));
+    if (found == self.records.end()) {
+        return false;
+    }
+    auto& answered = found->second;
+    const bool suspected = !answered.crashes.empty();
+    answered.answered_at = std::max(answered.answered_at, now);
+    answered.seen_at = std::max(answered.seen_at, now);
+    discard_crashes_before_answer(answered);
+    return suspected;
+}
+
+bool is_suspect(const state& self, fingerprint of)
+{
+    const auto* known = find(self, of);
+    return known != nullptr && !known->crashes.empty();
+}
+
+bool is_poison(const state& self, fingerprint of)
+{
+    const auto* known = find(self, of);
+    return known != nullptr &&
+           consecutive_crashes(*known) >= self.settings.max_crashes;
+}
+
+duration add_refusal(state& self, fingerprint of, boot_time now)
+{
+    auto& refused = find_or_add(self, of);
+    refused.seen_at = std::max(refused.seen_at, now);
+    return self.settings.retention;
+}
+
+std::vector<fingerprint> to_blame(const state& self,
+                                  std::span<const fingerprint> running)
+{
+    const auto crashes_of = [&](fingerprint each) {
+        const auto* known = find(self, each);
+        return known == nullptr ? 0U : consecutive_crashes(*known);
+    };
+    std::uint32_t most = 0;
+    for (const auto each : running) {
+        most = std::max(most, crashes_of(each));
+    }
+    std::vector<fingerprint> blamed;
+    for (const auto each : running) {
+        if (crashes_of(each) == most) {
+            blamed.push_back(each);
+        }
+    }
+    return blamed;
+}
+
+bool merge(state& self, const wire::crash_report& report, boot_time now)
+{
+    const boot_time seen_at = time_of(report.seen_ms_ago, now);
+    if (now - seen_at >= self.settings.retention) {
+        return false;
+    }
+    const fingerprint of{report.fingerprint};
+    auto& into = find_or_add(self, of);
+    into.seen_at = std::max(into.seen_at, seen_at);
+    bool changed = false;
+    const boot_time answered_at = time_of(report.answered_ms_ago, now);
+    const bool was_suspect = !into.crashes.empty();
+    if (answered_at > into.answered_at) {
+        into.answered_at = answered_at;
+        discard_crashes_before_answer(into);
+        changed = was_suspect && into.crashes.empty();
+    }
+    for (const auto& each : report.crashes) {
+        const crash added{each.leaf_process, time_of(each.sent_ms_ago, now),
+                          time_of(each.ended_ms_ago, now)};
+        changed =
+            insert(into, added, self.settings.max_crashes_kept) || changed;
+    }
+    return changed;
+}
+
+wire::crash_report report_of(const state& self, fingerprint of, boot_time now)
+{
+    wire::crash_report report;
+    report.fingerprint = raw(of);
+    const auto* known = find(self, of);
+    if (known == nullptr) {
+        return report;
+    }
+    report.seen_ms_ago = age_of(known->seen_at, now);
+    report.answered_ms_ago = age_of(known->answered_at, now);
+    for (const auto& each : known->crashes) {
+        report.crashes.push_back({each.leaf_process, age_of(each.sent_at, now),
+                                  age_of(each.ended_at, now)});
+    }
+    return report;
+}
+
+void expire(state& self, boot_time now)
+{
+    std::erase_if(self.records, [&](const auto& each) {
+        return now - each.second.seen_at >= self.settings.retention;
+    });
+}
+
+} // namespace bulrushspring::poison
--- a/libraries/wire/message.hpp
+++ b/libraries/wire/message.hpp
@@ -93,6 +93,27 @@
     std::vector<leaving_leaf> leaving;
 };
 
+// A leaf process that ended while a request was running on it. Ages are in
+// milliseconds before the message was sent.
+struct leaf_crash {
+    std::uint64_t leaf_process = 0; // hash of the leaf's id and incarnation
+    std::uint32_t sent_ms_ago = 0;  // when the request was sent to the leaf
+    std::uint32_t ended_ms_ago = 0;
+
+    bool operator==(const leaf_crash&) const = default;
+};
+
+// What the sender knows of a request that was running on leafs that crashed.
+struct crash_report {
+    std::uint64_t fingerprint = 0;
+    std::uint32_t seen_ms_ago = 0;
+    // When a leaf last answered it; the highest value means never.
+    std::uint32_t answered_ms_ago = 0xFFFFFFFFU;
+    std::vector<leaf_crash> crashes;
+
+    bool operator==(const crash_report&) const = default;
+};
+
 using datagram = std::variant<ping, ack, ping_request, gossip>;
 
 // Sent over TCP. Asks for the digest and for any of the documents in force: the
