--- /dev/null
+++ b/tests/gateway/crashing_fixture.hpp
@@ -0,0 +1,110 @@
+#ifndef BULRUSHSPRING_TESTS_GATEWAY_CRASHING_FIXTURE_HPP
+#define BULRUSHSPRING_TESTS_GATEWAY_CRASHING_FIXTURE_HPP
+
+#include "tests/gateway/gateway_fixture.hpp"
+
+#include <set>
+
+namespace bulrushspring::gateway::test
+{
+
+// Leafs that crash when a request to /s/poison or /q/poison is sent to them,
+// and whose addresses refuse connections from then on.
+struct crashing_fixture : gateway_fixture {
+    std::set<std::string> down;
+    std::vector<send_to_leaf> running; // sent and not answered
+    std::vector<answer_request> answers;
+    std::size_t poisoned = 0; // leafs that got the poison request
+
+    static bool is_poison(const send_to_leaf& sent)
+    {
+        return sent.request->target.ends_with("/poison");
+    }
+
+    // Ends a leaf's process: its connections close.
+    void crash(const std::string& leaf)
+    {
+        down.insert(leaf);
+        std::erase_if(running,
+                      [&](const auto& each) { return each.leaf == leaf; });
+        std::vector<connection_id> ended;
+        for (const auto& [id, each] : state.pool.connections) {
+            if (each.leaf == leaf && each.open) {
+                ended.push_back(connection_id{id});
+            }
+        }
+        for (const auto id : ended) {
+            feed(leaf_disconnected{id, error{}});
+        }
+    }
+
+    // A crashed leaf is back under another id.
+    void replace(const std::string& leaf, const std::string& service)
+    {
+        publish(gateway_fixture::leaf(leaf, service), true);
+        publish(gateway_fixture::leaf(leaf + "x", service));
+    }
+
+    // Establishes or refuses the connections that were requested.
+    void answer_opens()
+    {
+        for (const auto& each : take<open_leaf>()) {
+            const auto found =
+                state.pool.connections.find(raw(each.connection));
+            if (found == state.pool.connections.end()) {
+                continue;
+            }
+            if (down.count(found->second.leaf) > 0) {
+                feed(leaf_disconnected{each.connection, error{}});
+            } else {
+                feed(leaf_connected{each.connection});
+            }
+        }
+    }
+
+    // Takes what was sent; leafs that get the poison request crash.
+    void run_leafs()
+    {
+        for (auto sent = take<send_to_leaf>(); !sent.empty();
+             sent = take<send_to_leaf>()) {
+            for (const auto& each : sent) {
+                running.push_back(each);
+            }
+            for (const auto& each : sent) {
+                if (is_poison(each)) {
+                    ++poisoned;
+                    crash(each.leaf);
+                }
+            }
+        }
+    }
+
+    void answer_running()
+    {
+        const auto answered = std::exchange(running, {});
+        for (const auto& each : answered) {
+            reply(each, "1 a");
+        }
+    }
+
+    // Lets leafs, connections and timers run for this long. Requests are
+    // answered after some milliseconds.
+    void settle(duration span)
+    {
+        for (duration left = span; left > duration{0};
+             left -= milliseconds{5}) {
+            answer_opens();
+            run_leafs();
+            advance(milliseconds{5});
+            answer_opens();
+            answer_running();
+            for (auto& each : take<answer_request>()) {
+                answers.push_back(std::move(each));
+            }
+        }
+    }
+};
+
+} // namespace bulrushspring::gateway::test
+
+#endif
