poison: Count crashes within one moment once

Seen: a test in which the leafs of all shards crash at one moment condemned all of the 30 innocent queries. An attempt sent in the same instant in which an earlier leaf crashed counted as sent after that crash; the peers' reports round to milliseconds, so this can occur with them too. Change: it must have been sent later. A report that was never seen, or of a request that is not known and that tells nothing, adds no record any more: the age of 'never' overflowed, and the empty report added a record.

--- a/libraries/poison/poison.cpp
+++ b/libraries/poison/poison.cpp
@@ -97,7 +97,7 @@
     std::uint32_t count = 0;
     boot_time ended_at = boot_time::min();
     for (const auto& each : of.crashes) { // ordered by their ends
-        if (each.sent_at >= ended_at) {
+        if (each.sent_at > ended_at) {
             ++count;
             ended_at = each.ended_at;
         }
@@ -168,11 +168,17 @@
 
 bool merge(state& self, const wire::crash_report& report, boot_time now)
 {
+    const fingerprint of{report.fingerprint};
+    const bool tells_nothing =
+        report.crashes.empty() && report.answered_ms_ago == never;
+    if (report.seen_ms_ago == never ||
+        (tells_nothing && find(self, of) == nullptr)) {
+        return false;
+    }
     const boot_time seen_at = time_of(report.seen_ms_ago, now);
     if (now - seen_at >= self.settings.retention) {
         return false;
     }
-    const fingerprint of{report.fingerprint};
     auto& into = find_or_add(self, of);
     into.seen_at = std::max(into.seen_at, seen_at);
     bool changed = false;
