gateway: Refuse requests that crash the leafs that run them

Cause: nothing recognised a crash, or the request when it came again. Change: a leaf that ends a connection without an answer is watched, and a new connection checks whether it still runs. If it crashed, the interrupted request with the most earlier crashes is blamed. A suspect has one attempt at a time, on a leaf without another suspect; requests that may have been interrupted together wait for the verdict, 100 ms at most. After three crashes the request is refused at once with the reason crashes_leafs, and its attempts in progress end. While nothing is known, a request costs a comparison. Not done: an end-to-end test with daemons and leafs on sockets.

--- a/libraries/gateway/answers.cpp
+++ b/libraries/gateway/answers.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr unsigned timeout_status = 504;
+
 forward_answer merged_answer(exchange& exchange)
 {
     forward_answer answer;
@@ -35,6 +37,14 @@
     return answer;
 }
 
+// Only a signed answer counts as a success. A signed failure of a single
+// request is forwarded too, if no leaf answers it with a success.
+bool is_success(const leaf_reply& reply)
+{
+    return reply.status >= 200 && reply.status < 300 &&
+           !reply.signature.empty();
+}
+
 duration retry_after(const exchange_step& step, const exchange& exchange)
 {
     const auto& settings = step.state.settings;
@@ -59,6 +69,27 @@
     return !exchange.route->shards.empty();
 }
 
+attempt_outcome outcome_of(const attempt& ended, const leaf_reply& reply)
+{
+    constexpr unsigned misdirected_status = 421;
+    if (is_success(reply)) {
+        return attempt_outcome::succeeded;
+    }
+    if (ended.deadline_shortened && reply.status == timeout_status) {
+        return attempt_outcome::expired;
+    }
+    if (reply.status == misdirected_status) {
+        return attempt_outcome::misdirected;
+    }
+    return reply.not_run ? attempt_outcome::refused : attempt_outcome::failed;
+}
+
+bool has_run(const leaf_reply& reply)
+{
+    return !reply.signature.empty() && !reply.not_run &&
+           reply.status != timeout_status;
+}
+
 forward_answer covered_answer(exchange& exchange)
 {
     return is_query(exchange) ? merged_answer(exchange)
--- a/libraries/gateway/answers.hpp
+++ b/libraries/gateway/answers.hpp
@@ -10,6 +10,14 @@
 // Whether the request is a query over shards rather than for one service.
 bool is_query(const exchange&);
 
+// The outcome of an attempt that was answered.
+attempt_outcome outcome_of(const attempt&, const leaf_reply&);
+
+// Whether the leaf shows by its answer that it has run the request and still
+// runs itself. One that gave the request up after its time may not have begun
+// it.
+bool has_run(const leaf_reply&);
+
 // The answer made of the covered parts. Moves a relayed reply out of the
 // exchange.
 forward_answer covered_answer(exchange&);
--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -1,6 +1,7 @@
 #include "libraries/gateway/attempts.hpp"
 
 #include "libraries/gateway/answers.hpp"
+#include "libraries/gateway/crash_watch.hpp"
 #include "libraries/gateway/events.hpp"
 #include "libraries/gateway/leaf_statistics.hpp"
 
@@ -70,12 +71,17 @@
 
 // Chooses the leaf of the next attempt: one not tried yet while the route's
 // limit on leafs permits it, otherwise one that may get the request again.
-leaf_state* next_leaf(exchange_step& step, const exchange& exchange,
+leaf_state* next_leaf(exchange_step& step, exchange& exchange,
                       const request_part& part)
 {
     const auto now = step.context.now;
+    std::vector<std::string> excluded;
+    if (is_suspect(step, exchange)) {
+        excluded = leafs_with_suspects(step.pool, part.service);
+    }
     if (!leaf_limit_reached(exchange, part)) {
-        const auto tried = tried_leafs(part);
+        auto tried = tried_leafs(part);
+        tried.insert(tried.end(), excluded.begin(), excluded.end());
         auto* untried = choose_leaf(step.pool, part.service, tried, now);
         if (untried != nullptr) {
             return untried;
@@ -86,7 +92,6 @@
         now - step.state.settings.retry_delay < part.ended_at) {
         return nullptr;
     }
-    std::vector<std::string> excluded;
     for (const auto& id : found->second) {
         const bool repeatable = std::any_of(
             part.tried.begin(), part.tried.end(), [&](const auto& each) {
@@ -131,6 +136,7 @@
     made.started_at = step.context.now;
     made.expected_latency = exchange.expected_latency;
     made.route = exchange.route->name;
+    made.request = exchange.request;
     made.abandon_at = exchange.deadline;
     made.charged = part.attempted;
     ++leaf.in_flight;
@@ -223,6 +229,11 @@
 void send_part(exchange_step& step, exchange& exchange, request_part& part,
                std::string_view why)
 {
+    const auto held = held_until(step, exchange);
+    if (held > step.context.now) {
+        part.next_action_at = held;
+        return;
+    }
     if (!may_retry(exchange, part)) {
         fail_part(exchange, part);
         return;
@@ -253,6 +264,11 @@
 void hedge_part(exchange_step& step, exchange& exchange, request_part& part)
 {
     const auto now = step.context.now;
+    const auto held = held_until(step, exchange);
+    if (held > now) {
+        part.next_action_at = held;
+        return;
+    }
     const auto& first = step.state.attempts.at(raw(part.outstanding.front()));
     if (auto* unanswered = find_leaf(step.pool, first.leaf)) {
         avoid(*unanswered, now + step.pool.settings.hedged_penalty);
@@ -314,6 +330,7 @@
     const auto now = step.context.now;
     started.sent = true;
     started.sent_at = now;
+    mark_suspect(step, exchange, started);
     started.abandon_at = exchange.deadline + step.state.settings.deadline_grace;
     part.attempted = true;
     ++part.attempts;
--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -90,12 +90,28 @@
     "No leaf of the service accepts requests before the request must be "
     "answered. `for_ms` is the time until one does, -1 if none is known."};
 
+inline constexpr event_definition leaf_crash_checked{
+    8020, severity::warning, "leaf_crash_checked",
+    "leaf request crashed interrupted blamed after_ms",
+    "A leaf that had ended a connection without an answer was checked. With "
+    "crashed=1 its process is gone. `interrupted` counts the attempts that "
+    "ended, of which `request` is the first, `blamed` the requests that may "
+    "have crashed it."};
+inline constexpr event_definition request_poisonous{
+    8021, severity::error, "request_poisonous",
+    "request host target leaf crashes",
+    "A request has crashed this many leafs one after the other, `leaf` the "
+    "last. It is not sent to leafs any more and is refused when it comes "
+    "again."};
+
 inline constexpr std::array all_events = {
-    &gateway_started,     &table_in_force,   &stop_begun,       &stop_done,
-    &request_refused,     &request_answered, &second_sending,   &budget_spent,
-    &leaf_refused,        &leaf_broke_off,   &part_missing,     &caller_gone,
-    &sending_given_up,    &leaf_unreachable, &input_refused,    &load_changed,
-    &leaf_states_leaving, &leaf_paused,      &part_unavailable,
+    &gateway_started,  &table_in_force,      &stop_begun,
+    &stop_done,        &request_refused,     &request_answered,
+    &second_sending,   &budget_spent,        &leaf_refused,
+    &leaf_broke_off,   &part_missing,        &caller_gone,
+    &sending_given_up, &leaf_unreachable,    &input_refused,
+    &load_changed,     &leaf_states_leaving, &leaf_paused,
+    &part_unavailable, &leaf_crash_checked,  &request_poisonous,
 };
 
 } // namespace bulrushspring::gateway
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -3,6 +3,8 @@
 #include "libraries/gateway/answer_log.hpp"
 #include "libraries/gateway/answers.hpp"
 #include "libraries/gateway/attempts.hpp"
+#include "libraries/gateway/crash_watch.hpp"
+#include "libraries/gateway/deadlines.hpp"
 #include "libraries/gateway/events.hpp"
 #include "libraries/gateway/leaf_statistics.hpp"
 #include "libraries/gateway/query_admission.hpp"
@@ -16,10 +18,6 @@
 
 // How often abandoned attempts are checked for being overdue.
 constexpr milliseconds sweep_interval{100};
-// Until a route has enough latency samples, hedges are sent after this share
-// of its objective.
-constexpr double initial_hedge_share = 0.25;
-constexpr std::uint32_t min_latency_samples = 20;
 
 void finish(exchange_step& step, exchange& exchange, forward_answer answer)
 {
@@ -107,6 +105,10 @@
 void advance(exchange_step& step, exchange& exchange)
 {
     const auto token = exchange.token;
+    if (is_poison(step, exchange)) {
+        finish(step, exchange, poison_answer(step, exchange));
+        return;
+    }
     if (step.context.now < exchange.answer_by && admit(step, exchange)) {
         for (auto& part : exchange.parts) {
             if (part.phase == part_phase::open) {
@@ -120,39 +122,26 @@
     }
 }
 
-void set_deadlines(exchange_step& step, exchange& exchange,
-                   route_statistics& record)
+// Advances the exchanges that waited for a verdict on a leaf or for an answer
+// to a suspect.
+void resume(exchange_step& step)
 {
-    const auto& settings = step.state.settings;
-    const auto& route = *exchange.route;
-    const duration caller_limit = exchange.request->time_left;
-    const duration limit = caller_limit > duration{0}
-                               ? caller_limit
-                               : std::max(route.timeout, duration{0});
-    exchange.started_at = step.context.now;
-    exchange.deadline = exchange.started_at + limit;
-    const duration reserve = std::min(settings.answer_reserve, limit / 4);
-    exchange.answer_by =
-        exchange.started_at +
-        std::min(limit - reserve,
-                 route.timeout > duration{0} ? route.timeout : limit);
-    const duration objective =
-        route.objective > duration{0} ? route.objective : limit;
-    exchange.objective_deadline =
-        exchange.started_at +
-        std::max(objective - settings.objective_reserve, objective / 2);
-    const auto share = [&](double of_objective) {
-        return std::chrono::duration_cast<duration>(objective * of_objective);
-    };
-    if (record.latencies.total < min_latency_samples) {
-        exchange.hedge_delay = share(initial_hedge_share);
-        return;
+    while (!step.state.to_resume.empty()) {
+        const auto token = step.state.to_resume.back();
+        step.state.to_resume.pop_back();
+        const auto found = step.state.exchanges.find(raw(token));
+        if (found == step.state.exchanges.end()) {
+            continue;
+        }
+        auto& exchange = found->second;
+        exchange.held_until = boot_time::min();
+        for (auto& part : exchange.parts) {
+            if (part.phase == part_phase::open && part.outstanding.empty()) {
+                part.next_action_at = step.context.now;
+            }
+        }
+        advance(step, exchange);
     }
-    exchange.expected_latency = limits::quantile(record.latencies, 0.5);
-    exchange.hedge_delay = std::clamp(
-        limits::quantile(record.latencies, settings.hedge_quantile),
-        std::min(settings.min_hedge_delay, share(settings.max_hedge_share)),
-        share(settings.max_hedge_share));
 }
 
 void add_part(exchange_step& step, exchange& exchange,
@@ -166,31 +155,6 @@
                                 step.state.settings.budget, step.context.now);
 }
 
-// Only a signed answer counts as a success. A signed failure of a single
-// request is forwarded too, if no leaf answers it with a success.
-bool is_success(const leaf_reply& reply)
-{
-    return reply.status >= 200 && reply.status < 300 &&
-           !reply.signature.empty();
-}
-
-constexpr unsigned misdirected_status = 421;
-
-attempt_outcome outcome_of(const attempt& ended, const leaf_reply& reply)
-{
-    constexpr unsigned timeout_status = 504;
-    if (is_success(reply)) {
-        return attempt_outcome::succeeded;
-    }
-    if (ended.deadline_shortened && reply.status == timeout_status) {
-        return attempt_outcome::expired;
-    }
-    if (reply.status == misdirected_status) {
-        return attempt_outcome::misdirected;
-    }
-    return reply.not_run ? attempt_outcome::refused : attempt_outcome::failed;
-}
-
 void complete_part(exchange_step& step, exchange& exchange, request_part& part,
                    const leaf_reply& reply)
 {
@@ -251,6 +215,7 @@
     step.state.attempts.erase(found);
     if (auto* leaf = find_leaf(step.pool, ended.leaf)) {
         --leaf->in_flight;
+        leaf->suspects -= ended.suspect ? 1 : 0;
     }
     return ended;
 }
@@ -285,6 +250,29 @@
     }
 }
 
+// Handles the end of an attempt that its exchange still awaits.
+void handle_end(exchange_step& step, attempt_id id, const attempt& ended,
+                const error& cause)
+{
+    auto& exchange = step.state.exchanges.at(raw(ended.exchange));
+    auto& part = exchange.parts[ended.part];
+    if (ended.sent) {
+        exchange.may_have_run = true;
+        step.context.log(make_record(
+            leaf_broke_off, field("request", exchange.request->id),
+            field("leaf", ended.leaf),
+            field("after_ms",
+                  to_milliseconds(step.context.now - ended.sent_at)),
+            field("cause", to_string(cause))));
+        record_attempt_outcome(step, part, id, ended,
+                               attempt_outcome::broke_off);
+    } else {
+        remove_unsent(step, part, id, ended);
+        part.next_action_at = step.context.now;
+    }
+    advance(step, exchange);
+}
+
 // Closes the connections of abandoned attempts that are overdue.
 void close_overdue_attempts(exchange_step& step)
 {
@@ -323,6 +311,10 @@
     exchange.request = request;
     exchange.table = table;
     exchange.route = &route;
+    if (refuse_poison(step, exchange)) {
+        step.state.exchanges.erase(raw(token));
+        return;
+    }
     auto& record = step.state.routes[route.name];
     set_deadlines(step, exchange, record);
     exchange.parts.reserve(std::max<std::size_t>(route.shards.size(), 1));
@@ -363,6 +355,7 @@
         return;
     }
     auto& connection = found->second;
+    apply_connect_result(step, connection, true);
     connection.open = true;
     connection.since = step.context.now;
     --step.pool.opening;
@@ -371,20 +364,23 @@
     leaf.failed_opens = 0;
     if (!connection.attempt) {
         leaf.idle.push_back(event.connection);
+        resume(step);
         return;
     }
     auto& attempt = step.state.attempts.at(raw(*connection.attempt));
     auto& exchange = step.state.exchanges.at(raw(attempt.exchange));
     auto& part = exchange.parts[attempt.part];
-    if (!accepts_requests(leaf, step.context.now)) {
+    if (!accepts_requests(leaf, step.context.now) ||
+        !may_transmit(step, exchange, attempt)) {
         cancel_unsent(step, part, *connection.attempt);
         part.next_action_at = step.context.now;
         leaf.idle.push_back(event.connection);
         advance(step, exchange);
-        return;
+    } else {
+        transmit(step, exchange, part, attempt);
+        schedule_timer(step, exchange);
     }
-    transmit(step, exchange, part, attempt);
-    schedule_timer(step, exchange);
+    resume(step);
 }
 
 void reduce(exchange_step& step, const leaf_replied& event)
@@ -396,6 +392,7 @@
     const attempt_id id = *found->second.attempt;
     const attempt ended = remove_attempt(step, id);
     update_leaf_statistics(step, ended, event.reply);
+    apply_answer(step, ended, event.reply);
     apply_leaf_state(step.pool, event.connection, event.reply, step.context);
     if (event.reusable) {
         release(step.pool, event.connection, event.reply, step.context);
@@ -405,6 +402,7 @@
     if (ended.awaited) {
         handle_reply(step, id, ended, event.reply);
     }
+    resume(step);
 }
 
 void reduce(exchange_step& step, const leaf_disconnected& event)
@@ -416,31 +414,17 @@
     const auto connection = found->second;
     remove_connection(step.pool, event.connection, !connection.answered,
                       step.context);
-    if (!connection.attempt) {
-        return;
-    }
-    const attempt_id id = *connection.attempt;
-    const attempt ended = remove_attempt(step, id);
-    if (!ended.awaited) {
-        return;
-    }
-    auto& exchange = step.state.exchanges.at(raw(ended.exchange));
-    auto& part = exchange.parts[ended.part];
-    if (ended.sent) {
-        exchange.may_have_run = true;
-        step.context.log(make_record(
-            leaf_broke_off, field("request", exchange.request->id),
-            field("leaf", ended.leaf),
-            field("after_ms",
-                  to_milliseconds(step.context.now - ended.sent_at)),
-            field("cause", to_string(event.cause))));
-        record_attempt_outcome(step, part, id, ended,
-                               attempt_outcome::broke_off);
-    } else {
-        remove_unsent(step, part, id, ended);
-        part.next_action_at = step.context.now;
+    if (!connection.open) {
+        apply_connect_result(step, connection, false);
+    }
+    if (connection.attempt) {
+        const auto ended = remove_attempt(step, *connection.attempt);
+        watch_leaf(step, connection, ended);
+        if (ended.awaited) {
+            handle_end(step, *connection.attempt, ended, event.cause);
+        }
     }
-    advance(step, exchange);
+    resume(step);
 }
 
 void run_due_timers(exchange_step& step)
@@ -456,14 +440,22 @@
         }
     }
     close_overdue_attempts(step);
+    review_crashes(step);
+    resume(step);
+}
+
+void finish_poison(exchange_step& step)
+{
+    resume_poison(step.state);
+    resume(step);
 }
 
 boot_time next_wakeup(const exchanges_state& self)
 {
     const boot_time sweep_at =
         self.attempts.empty() ? boot_time::max() : self.sweep_at;
-    return self.timers.empty() ? sweep_at
-                               : std::min(sweep_at, self.timers.top().at);
+    const boot_time next = std::min(sweep_at, next_crash_review(self));
+    return self.timers.empty() ? next : std::min(next, self.timers.top().at);
 }
 
 void finish_all(exchange_step& step)
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -4,6 +4,7 @@
 #include "libraries/gateway/leaf_pool.hpp"
 #include "libraries/limits/latency_histogram.hpp"
 #include "libraries/limits/window_budget.hpp"
+#include "libraries/poison/poison.hpp"
 
 #include <queue>
 
@@ -53,7 +54,17 @@
     // faster, a retry makes it possible.
     double retry_reserve = 0.4;
     std::size_t max_exchanges = 4096; // in progress
-    limits::window_limits budget;     // of extra attempts, for each service
+    // A leaf whose connection ended without an answer has crashed if a new
+    // connection to it fails within check_timeout, or if it is published anew
+    // or removed within watch_time. Requests that it may have interrupted
+    // together wait up to verdict_wait before they are sent again.
+    milliseconds check_timeout{500};
+    milliseconds watch_time{2000};
+    milliseconds verdict_wait{100};
+    // Limits on the leafs watched at a time, and on the requests of one.
+    std::size_t max_watched_leafs = 256;
+    std::size_t max_interrupted = 64;
+    limits::window_limits budget; // of extra attempts, for each service
 };
 
 struct tried_leaf {
@@ -103,6 +114,9 @@
     boot_time timer{}; // other entries of the timer queue are obsolete
     duration expected_latency{0}; // median of the route; 0: not known yet
     duration hedge_delay{0};
+    std::optional<poison::fingerprint> fingerprint; // once it was needed
+    // No further attempt is made before: a leaf that ended is being checked.
+    boot_time held_until = boot_time::min();
 };
 
 // One request that is sent to one leaf.
@@ -121,6 +135,28 @@
     boot_time abandon_at{}; // when its connection is closed if abandoned
     duration expected_latency{0};
     std::string route;
+    request_pointer request;
+    bool suspect = false; // counted in leaf_state::suspects
+};
+
+// An attempt whose leaf may have crashed.
+struct interrupted_attempt {
+    poison::fingerprint fingerprint{};
+    request_pointer request;
+    caller_token exchange{};
+    boot_time sent_at{};
+};
+
+// A leaf process that has ended a connection without an answer, until it is
+// known whether it crashed.
+struct leaf_watch {
+    std::uint64_t process = 0;      // see poison::crash
+    std::uint32_t incarnations = 0; // of leaf_state
+    bool listed = false;
+    bool checked = false; // a connection is opened that tells
+    bool decided = false;
+    boot_time ended_at{};
+    std::vector<interrupted_attempt> interrupted;
 };
 
 // Latencies of a route's leafs, kept when the routing table changes.
@@ -152,6 +188,12 @@
                         fires_later>
         timers;
     boot_time sweep_at{}; // next check for overdue abandoned attempts
+    poison::state poison;
+    std::vector<poison::fingerprint> to_share; // news for other daemons
+    std::map<std::string, leaf_watch> watches; // by leaf
+    boot_time watches_reviewed_at{};           // the next time
+    // Exchanges that wait no longer, by the end of the current step.
+    std::vector<caller_token> to_resume;
 };
 
 // The state and the context that one step of the reducers works on.
@@ -174,6 +216,10 @@
 void run_due_timers(exchange_step&);
 boot_time next_wakeup(const exchanges_state&);
 
+// Answers the exchanges whose requests have become poison. Called once another
+// daemon's report has been merged.
+void finish_poison(exchange_step&);
+
 // Finishes all exchanges with a final answer, before the process stops.
 void finish_all(exchange_step&);
 
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -52,6 +52,9 @@
     if (now < leaf.avoid_until || now < leaf.backoff_until) {
         cost += avoided_cost;
     }
+    if (leaf.suspects > 0) {
+        cost += avoided_cost; // it may crash
+    }
     if (!leaf.listed) {
         cost += unlisted_cost;
     }
@@ -267,6 +270,16 @@
     return open(pool, leaf, attempt, context);
 }
 
+bool open_check(leaf_pool& pool, leaf_state& leaf, context& context)
+{
+    if (pool.opening >= pool.settings.max_opening ||
+        leaf.connections >= connection_quota(pool, leaf, context.now)) {
+        return false;
+    }
+    open(pool, leaf, std::nullopt, context);
+    return true;
+}
+
 bool accepts_requests(const leaf_state& leaf, boot_time now)
 {
     return !leaf.leaving && now >= leaf.paused_until;
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -119,6 +119,7 @@
     boot_time unlisted_at{};
     std::uint32_t incarnations = 0; // changes of its published incarnation
     std::uint32_t in_flight = 0;
+    std::uint32_t suspects = 0;   // of those, requests that may crash it
     boot_time preconnect_after{}; // no connection is opened in advance before
     std::vector<connection_id> idle; // the most recently used at the back
     std::uint32_t connections = 0;   // opening, idle and busy
@@ -181,6 +182,10 @@
 std::optional<connection_id> acquire(leaf_pool&, leaf_state&, attempt_id,
                                      bool idempotent, context&);
 
+// Opens a connection that tells whether the leaf still runs. Returns false if
+// it may not be opened now.
+bool open_check(leaf_pool&, leaf_state&, context&);
+
 // Whether the leaf may be sent a request now, as far as it has stated.
 bool accepts_requests(const leaf_state&, boot_time now);
 
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -7,6 +7,7 @@
 #include "libraries/shell/handles.hpp"
 
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 namespace bulrushspring::http
@@ -62,6 +63,9 @@
 
     std::size_t connections() const { return open_.size(); }
 
+    // The caller that sent a request; nothing if it has disconnected.
+    std::optional<endpoint> peer_of(caller_token token) const;
+
 private:
     // reading: waits for or receives a request. answering: waits for the
     // owner's answer. flushing: sends it. lingering: discards input until the
