wire: Add messages for reports of crashes

Cause: what a daemon knows of requests that crash leafs has no way to its peers. Change: the datagram crash_reports, and crash_reports_request and its reply over TCP. At most 8 crashes a report, 64 reports a datagram, 2,048 a frame; reports that don't fit into a datagram are an error. Membership ignores the datagram. Its generators cover the new messages.

--- a/libraries/membership/membership.cpp
+++ b/libraries/membership/membership.cpp
@@ -168,6 +168,13 @@
     send_correction(membership, message.from, correction, effects);
 }
 
+// Not about members.
+void handle_message(state& /*membership*/,
+                    const wire::crash_reports& /*message*/, endpoint /*from*/,
+                    context& /*effects*/)
+{
+}
+
 std::string region_of(const manifest::fleet& entries,
                       const std::string& data_centre)
 {
--- a/libraries/wire/datagram.cpp
+++ b/libraries/wire/datagram.cpp
@@ -51,6 +51,11 @@
     return size;
 }
 
+std::size_t base_content_size(const crash_reports& /*message*/)
+{
+    return count_bytes;
+}
+
 // Counts the records, from the first on, that fit into `room` bytes, and
 // reduces `room` by their sizes.
 template <typename Record>
@@ -136,6 +141,20 @@
     return message;
 }
 
+void save_message(cereal::PortableBinaryOutputArchive& archive,
+                  const crash_reports& message, packed_datagram& /*packed*/)
+{
+    std::size_t size = base_size(message);
+    for (const auto& each : message.reports) {
+        size += encoded_size(each);
+    }
+    if (size > max_datagram_bytes) {
+        throw cereal::Exception("reports exceed the datagram limit");
+    }
+    auto reports = message.reports;
+    archive(bounded_list<crash_report>{reports, max_reports_in_datagram});
+}
+
 datagram load_datagram(cereal::PortableBinaryInputArchive& archive)
 {
     std::uint8_t tag = 0;
@@ -149,6 +168,12 @@
         return load_message<ping_request>(archive);
     case 3:
         return load_message<gossip>(archive);
+    case 4: {
+        crash_reports message;
+        archive(bounded_list<crash_report>{message.reports,
+                                           max_reports_in_datagram});
+        return message;
+    }
     default:
         throw cereal::Exception("unknown message tag");
     }
@@ -225,6 +250,20 @@
     return text_size(leaf.name);
 }
 
+std::size_t encoded_size(const crash_report& report)
+{
+    constexpr std::size_t fingerprint_bytes = 8;
+    constexpr std::size_t process_bytes = 8;
+    std::size_t size = fingerprint_bytes + varint_size(report.seen_ms_ago) +
+                       varint_size(report.answered_ms_ago) +
+                       varint_size(report.crashes.size());
+    for (const auto& each : report.crashes) {
+        size += process_bytes + varint_size(each.sent_ms_ago) +
+                varint_size(each.ended_ms_ago);
+    }
+    return size;
+}
+
 std::size_t base_size(const datagram& message)
 {
     const auto content = std::visit(
--- a/libraries/wire/datagram.hpp
+++ b/libraries/wire/datagram.hpp
@@ -19,6 +19,9 @@
 // leafs.
 inline constexpr std::size_t max_piggybacked_records = 100;
 
+// The limit on the reports of crashes in one datagram.
+inline constexpr std::size_t max_reports_in_datagram = 64;
+
 // An encoded datagram. Only the first `members` and the first `leaving`
 // elements of the message's lists fitted into it.
 struct packed_datagram {
@@ -29,7 +32,7 @@
 
 // Encodes a message with as many of its leaving leafs, and then of its members,
 // as fit into max_datagram_bytes. Fails with errc::too_large if a name is
-// longer than max_name_bytes.
+// longer than max_name_bytes, or if reports of crashes don't fit.
 result<packed_datagram> pack(const datagram& message);
 
 // As pack(), but returns only the bytes.
@@ -42,6 +45,7 @@
 // The number of bytes that a record takes in a datagram.
 std::size_t encoded_size(const member_record& record);
 std::size_t encoded_size(const leaving_leaf& leaf);
+std::size_t encoded_size(const crash_report& report);
 
 // The size in bytes of the datagram of a message without its piggybacked
 // records.
--- a/libraries/wire/frame.cpp
+++ b/libraries/wire/frame.cpp
@@ -62,6 +62,17 @@
             bounded_list<published_record>{reply.records, max_records});
 }
 
+template <typename Archive>
+void serialize(Archive& /*archive*/, crash_reports_request& /*request*/)
+{
+}
+
+template <typename Archive>
+void serialize(Archive& archive, crash_reports_reply& reply)
+{
+    archive(bounded_list<crash_report>{reply.reports, max_reports_in_frame});
+}
+
 namespace
 {
 
@@ -132,6 +143,11 @@
         archive(message);
         return message;
     }
+    if (tag == first_tag<Variant> + 3) {
+        std::variant_alternative_t<3, Variant> message;
+        archive(message);
+        return message;
+    }
     throw cereal::Exception("unknown message tag");
 }
 
--- a/libraries/wire/frame.hpp
+++ b/libraries/wire/frame.hpp
@@ -31,6 +31,9 @@
 inline constexpr std::size_t max_records = 64UL * 1024;
 inline constexpr std::size_t max_key_bytes = 256;
 
+// The limit on the reports of crashes in a frame.
+inline constexpr std::size_t max_reports_in_frame = 2048;
+
 // Encodes a complete frame with its length prefix. Fails with errc::too_large.
 result<std::string> encode(const peer_request& request);
 result<std::string> encode(const peer_reply& reply);
--- a/libraries/wire/message.hpp
+++ b/libraries/wire/message.hpp
@@ -114,7 +114,13 @@
     bool operator==(const crash_report&) const = default;
 };
 
-using datagram = std::variant<ping, ack, ping_request, gossip>;
+// Spreads what the sender knows of requests that crash leafs.
+struct crash_reports {
+    std::vector<crash_report> reports;
+};
+
+// Only ever extended at its end: a daemon drops messages it doesn't know.
+using datagram = std::variant<ping, ack, ping_request, gossip, crash_reports>;
 
 // Sent over TCP. Asks for the digest and for any of the documents in force: the
 // manifest's index, the list of VMs and sections by their hashes. A requester
@@ -172,9 +178,19 @@
     std::vector<published_record> records;
 };
 
-using peer_request =
-    std::variant<documents_request, members_request, records_request>;
-using peer_reply = std::variant<documents_reply, members_reply, records_reply>;
+// Sent over TCP. Asks for all reports of requests that crash leafs.
+struct crash_reports_request {
+};
+
+// The reports of the sender, those with the most crashes first.
+struct crash_reports_reply {
+    std::vector<crash_report> reports;
+};
+
+using peer_request = std::variant<documents_request, members_request,
+                                  records_request, crash_reports_request>;
+using peer_reply = std::variant<documents_reply, members_reply, records_reply,
+                                crash_reports_reply>;
 
 } // namespace bulrushspring::wire
 
--- a/libraries/wire/serialize.hpp
+++ b/libraries/wire/serialize.hpp
@@ -241,6 +241,24 @@
     archive(bounded_text{leaf.name, max_name_bytes});
 }
 
+// The limit on the crashes in a report.
+inline constexpr std::size_t max_crashes_in_report = 8;
+
+template <typename Archive>
+void serialize(Archive& archive, leaf_crash& crash)
+{
+    archive(crash.leaf_process, varint{crash.sent_ms_ago},
+            varint{crash.ended_ms_ago});
+}
+
+template <typename Archive>
+void serialize(Archive& archive, crash_report& report)
+{
+    archive(report.fingerprint, varint{report.seen_ms_ago},
+            varint{report.answered_ms_ago},
+            bounded_list<leaf_crash>{report.crashes, max_crashes_in_report});
+}
+
 } // namespace bulrushspring::wire
 
 #endif
--- a/tests/wire/datagram_test.cpp
+++ b/tests/wire/datagram_test.cpp
@@ -1,3 +1,4 @@
+#include "libraries/wire/envelope.hpp"
 #include "tests/wire/generators.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -110,3 +111,25 @@
     BOOST_REQUIRE(!decoded.has_value());
     BOOST_TEST((decoded.error().code == errc::too_large));
 }
+
+BOOST_AUTO_TEST_CASE(reports_of_crashes_over_their_limits_are_refused)
+{
+    wire::crash_report report;
+    report.crashes.resize(8);
+    wire::crash_reports message{{report}};
+    const auto bytes = encoded(message);
+    BOOST_TEST(bytes.size() ==
+               wire::base_size(message) + wire::encoded_size(report));
+    const auto decoded = wire::decode_datagram(bytes, "peer").value();
+    BOOST_TEST(
+        (std::get<wire::crash_reports>(decoded).reports == message.reports));
+    message.reports[0].crashes.resize(9);
+    BOOST_TEST(!wire::encode(message).has_value());
+    message.reports.assign(64, report);
+    BOOST_TEST(!wire::encode(message).has_value());
+    // Byte order, tag, and a claim of 127 reports.
+    const auto claimed =
+        wire::decode_datagram(wire::wrap("\x01\x04\x7f"), "peer");
+    BOOST_REQUIRE(!claimed.has_value());
+    BOOST_TEST((claimed.error().code == errc::malformed));
+}
--- a/tests/wire/frame_test.cpp
+++ b/tests/wire/frame_test.cpp
@@ -12,6 +12,9 @@
 
 wire::peer_request any_request()
 {
+    if (*rc::gen::inRange(0, 4) == 0) {
+        return wire::crash_reports_request{};
+    }
     if (*rc::gen::arbitrary<bool>()) {
         return wire::members_request{any_records(5)};
     }
@@ -28,6 +31,9 @@
 
 wire::peer_reply any_reply()
 {
+    if (*rc::gen::inRange(0, 3) == 0) {
+        return wire::crash_reports_reply{any_reports(5)};
+    }
     if (*rc::gen::arbitrary<bool>()) {
         return wire::members_reply{any_records(5)};
     }
@@ -92,7 +98,7 @@
     auto content = any_text(400);
     if (content.size() > 2 && *rc::gen::arbitrary<bool>()) {
         content[0] = 1; // cereal's byte order flag
-        content[1] = static_cast<char>(*rc::gen::inRange(0, 18));
+        content[1] = static_cast<char>(*rc::gen::inRange(0, 20));
     }
     const auto wrapped = wire::wrap(content);
     const auto before = allocated_bytes();
--- a/tests/wire/generators.hpp
+++ b/tests/wire/generators.hpp
@@ -75,9 +75,24 @@
     return message;
 }
 
+inline std::vector<wire::crash_report> any_reports(std::size_t max_count)
+{
+    const auto any_age = rc::gen::arbitrary<std::uint32_t>();
+    std::vector<wire::crash_report> reports(
+        *rc::gen::inRange<std::size_t>(0, max_count + 1));
+    for (auto& report : reports) {
+        report = {*rc::gen::arbitrary<std::uint64_t>(), *any_age, *any_age, {}};
+        report.crashes.resize(*rc::gen::inRange<std::size_t>(0, 9));
+        for (auto& crash : report.crashes) {
+            crash = {*rc::gen::arbitrary<std::uint64_t>(), *any_age, *any_age};
+        }
+    }
+    return reports;
+}
+
 inline wire::datagram any_datagram(std::size_t max_count)
 {
-    switch (*rc::gen::inRange(0, 4)) {
+    switch (*rc::gen::inRange(0, 5)) {
     case 0: {
         auto message = any_message_with_updates<wire::ping>(max_count);
         message.sequence = *rc::gen::arbitrary<std::uint64_t>();
@@ -91,6 +106,8 @@
     case 2:
         return wire::ping_request{*rc::gen::arbitrary<std::uint64_t>(),
                                   any_record(), any_text(64), any_endpoint(0)};
+    case 3:
+        return wire::crash_reports{any_reports(max_count)};
     default:
         return any_message_with_updates<wire::gossip>(max_count);
     }
