poison: Count crashes that ended together alike in any order

Cause: crashes of a request that ended at the same millisecond were kept in the order of their arrival, and the count of consecutive crashes depends on it. Two daemons with the same reports could differ in what they refuse. Change: ties are ordered by the time of sending, then by the process.

--- a/libraries/poison/poison.cpp
+++ b/libraries/poison/poison.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace bulrushspring::poison
 {
@@ -59,8 +60,11 @@
         std::any_of(into.crashes.begin(), into.crashes.end(), same)) {
         return false;
     }
+    // Crashes that ended at the same time are ordered too, so that the count
+    // doesn't depend on the order in which they arrive.
     const auto ends_later = [](const crash& one, const crash& other) {
-        return one.ended_at < other.ended_at;
+        return std::tie(one.ended_at, one.sent_at, one.leaf_process) <
+               std::tie(other.ended_at, other.sent_at, other.leaf_process);
     };
     into.crashes.insert(std::upper_bound(into.crashes.begin(),
                                          into.crashes.end(), added, ends_later),
