--- a/libraries/catalogue/catalogue.cpp
+++ b/libraries/catalogue/catalogue.cpp
@@ -7,6 +7,7 @@
 #include "libraries/log/events.hpp"
 #include "libraries/membership/events.hpp"
 #include "libraries/node/events.hpp"
+#include "libraries/poison/events.hpp"
 #include "libraries/queries/events.hpp"
 #include "libraries/requests/events.hpp"
 #include "libraries/targets/events.hpp"
@@ -54,6 +55,7 @@
     append(all, admission::all_events);
     append(all, gateway::all_events);
     append(all, topology::all_events);
+    append(all, poison::all_events);
     std::sort(all.begin(), all.end(), [](const auto* left, const auto* right) {
         return left->number < right->number;
     });
