http: Apply changed limits to connections that are open

Cause: a connection's parser was made, and its idle timeout set, when it became idle. After a change of the table, the next request on a kept connection was refused with 413 by the old limit, which callers don't retry; and an idle one was closed after the old, shorter timeout while callers relied on the new one. Why it works: set_limits renews the parser of each connection that has read nothing of its next request, and the idle timeout if it waits for one.

--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -74,6 +74,20 @@
     return made;
 }
 
+void server::set_limits(const server_limits& limits)
+{
+    limits_ = limits;
+    for (const auto& [id, each] : open_) {
+        if (each->parser.begun()) {
+            continue;
+        }
+        each->parser = request_parser(limits_.sizes);
+        if (each->state == phase::reading) {
+            await_request(*each);
+        }
+    }
+}
+
 void server::on_accept(evconnlistener* /*listener*/, evutil_socket_t socket,
                        sockaddr* from, int /*size*/, void* self)
 {
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -41,7 +41,8 @@
     listen(event_base* base, const endpoint& address, server_events events);
     ~server();
 
-    void set_limits(const server_limits& limits) { limits_ = limits; }
+    // Applies to each connection from its next request on.
+    void set_limits(const server_limits& limits);
 
     // Closes each connection after its next answer, which says so by
     // "Connection: close".
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -218,3 +218,31 @@
     }));
     BOOST_TEST(asked.size() == 1U);
 }
+
+// CONFIG: a kept connection's next request was refused by the limits that were
+// in force when the connection became idle.
+BOOST_FIXTURE_TEST_CASE(raised_limits_apply_to_open_connections, fixture)
+{
+    raw_socket caller(connect_to(address));
+    BOOST_REQUIRE(until([&] { return server->connections() == 1; }));
+    server->set_limits({{512, 128}, milliseconds{300}, seconds{5}});
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 128\r\n\r\n" +
+                std::string(128, 'x'));
+    BOOST_REQUIRE(until([&] { return asked.size() + rejected.size() == 1; }));
+    BOOST_TEST(rejected.empty());
+}
+
+// LOST: a kept connection was closed after the idle timeout that was in force
+// when it became idle, while callers relied on the raised one.
+BOOST_FIXTURE_TEST_CASE(a_raised_idle_timeout_applies_to_open_connections,
+                        fixture)
+{
+    server->set_limits({{512, 64}, milliseconds{300}, milliseconds{200}});
+    raw_socket caller(connect_to(address));
+    BOOST_REQUIRE(until([&] { return server->connections() == 1; }));
+    server->set_limits({{512, 64}, milliseconds{300}, milliseconds{2000}});
+    const system_boot_clock clock;
+    const auto old_timeout_passed = clock.now() + milliseconds{600};
+    BOOST_REQUIRE(until([&] { return clock.now() >= old_timeout_passed; }));
+    BOOST_TEST(server->connections() == 1U);
+}
