--- a/libraries/shell/caller_server.hpp
+++ b/libraries/shell/caller_server.hpp
@@ -33,7 +33,6 @@
     // to another entry.
     void close_after_answers() { closing_ = true; }
 
-    // Stops accepting connections, and calls `finished` once the requests that
     // Calls `finished` once the requests that have arrived are answered and the
     // answers sent. Callers that don't read theirs delay it without a limit.
     void finish(std::function<void()> finished);
