--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -19,6 +19,12 @@
 // the socket's buffer.
 constexpr std::size_t max_buffered_input = 65536;
 
+bool has_unread_input(evutil_socket_t socket)
+{
+    char next = 0;
+    return recv(socket, &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 } // namespace
 
 struct server::connection {
@@ -68,6 +74,20 @@
     return made;
 }
 
+void server::set_limits(const server_limits& limits)
+{
+    limits_ = limits;
+    for (const auto& [id, each] : open_) {
+        if (each->parser.begun()) {
+            continue;
+        }
+        each->parser = request_parser(limits_.sizes);
+        if (each->state == phase::reading) {
+            await_request(*each);
+        }
+    }
+}
+
 void server::on_accept(evconnlistener* /*listener*/, evutil_socket_t socket,
                        sockaddr* from, int /*size*/, void* self)
 {
@@ -315,7 +335,8 @@
 {
     std::vector<connection*> idle;
     for (const auto& [id, each] : open_) {
-        if (each->state == phase::reading && !each->parser.begun()) {
+        if (each->state == phase::reading && !each->parser.begun() &&
+            !has_unread_input(bufferevent_getfd(each->buffer.get()))) {
             idle.push_back(each.get());
         }
     }
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -204,3 +204,45 @@
     }));
     BOOST_TEST(caller.received.find("503") != std::string::npos);
 }
+
+// LOST: a connection that was accepted in the turn of the event loop in which
+// finishing began was closed as idle with its request unread.
+BOOST_FIXTURE_TEST_CASE(finishing_reads_requests_on_new_connections, fixture)
+{
+    raw_socket caller(connect_to(address));
+    caller.send(valid_request);
+    server->finish([] {});
+    BOOST_REQUIRE(until([&] {
+        caller.receive();
+        return asked.size() == 1 || caller.ended;
+    }));
+    BOOST_TEST(asked.size() == 1U);
+}
+
+// CONFIG: a kept connection's next request was refused by the limits that were
+// in force when the connection became idle.
+BOOST_FIXTURE_TEST_CASE(raised_limits_apply_to_open_connections, fixture)
+{
+    raw_socket caller(connect_to(address));
+    BOOST_REQUIRE(until([&] { return server->connections() == 1; }));
+    server->set_limits({{512, 128}, milliseconds{300}, seconds{5}});
+    caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 128\r\n\r\n" +
+                std::string(128, 'x'));
+    BOOST_REQUIRE(until([&] { return asked.size() + rejected.size() == 1; }));
+    BOOST_TEST(rejected.empty());
+}
+
+// LOST: a kept connection was closed after the idle timeout that was in force
+// when it became idle, while callers relied on the raised one.
+BOOST_FIXTURE_TEST_CASE(a_raised_idle_timeout_applies_to_open_connections,
+                        fixture)
+{
+    server->set_limits({{512, 64}, milliseconds{300}, milliseconds{200}});
+    raw_socket caller(connect_to(address));
+    BOOST_REQUIRE(until([&] { return server->connections() == 1; }));
+    server->set_limits({{512, 64}, milliseconds{300}, milliseconds{2000}});
+    const system_boot_clock clock;
+    const auto old_timeout_passed = clock.now() + milliseconds{600};
+    BOOST_REQUIRE(until([&] { return clock.now() >= old_timeout_passed; }));
+    BOOST_TEST(server->connections() == 1U);
+}
