soak: Check what is unfinished when a stopped process ends

What the soak missed: callers see only their own cuts; the daemon counts all requests without an answer and answers not fully sent in E1103. Each test case has its own log folder, since an earlier case injects kills and pauses whose ends are no planned stops.

--- a/fakes/site/soak.cpp
+++ b/fakes/site/soak.cpp
@@ -1,6 +1,7 @@
 #include "fakes/site/soak.hpp"
 
 #include <csignal>
+#include <fstream>
 
 namespace bulrushspring::site
 {
@@ -337,6 +338,21 @@
         }
     }
 
+    // Requires that every stopped process had answered all that it had read.
+    // The daemon states this in its last log line.
+    void check_ends()
+    {
+        for (const auto& each : site.daemons) {
+            std::ifstream log(options.site.folder + "/" + each.name + ".log");
+            for (std::string line; std::getline(log, line);) {
+                if (line.find(" E1103 ") != std::string::npos &&
+                    !line.ends_with("unanswered=0 unsent=0")) {
+                    report.violations.push_back(each.name + ": " + line);
+                }
+            }
+        }
+    }
+
     void clear_faults()
     {
         log_fault("clear all faults");
@@ -387,6 +403,9 @@
         report.violations.insert(report.violations.end(),
                                  load.violations().begin(),
                                  load.violations().end());
+        if (options.planned_only) {
+            check_ends();
+        }
         const auto lost = late.lost_requests();
         report.violations.insert(report.violations.end(), lost.begin(),
                                  lost.end());
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -17,7 +17,8 @@
     site::soak_options options;
     const auto directory =
         std::filesystem::temp_directory_path() /
-        ("bulrushspring-test-soak-" + std::to_string(getpid()));
+        ("bulrushspring-test-soak-" + std::to_string(getpid()) + "-" +
+         std::to_string(seed));
     std::filesystem::create_directories(directory);
     options.site.program =
         std::string(BULRUSHSPRING_BINARY_FOLDER) + "/bulrushspring-platformd";
--- a/utilities/soak.cpp
+++ b/utilities/soak.cpp
@@ -77,7 +77,8 @@
               << " cut; late: " << report.late.sent << " asked, "
               << report.late.answered << " answered, " << report.late.cut
               << " cut; " << report.faults.size() << " faults; "
-              << report.store_calls << " store calls\n";
+              << report.store_calls << " store calls"
+              << std::endl; // visible while later seeds run
     if (report.violations.empty()) {
         return true;
     }
