gateway: Exchange reports of crashes with the other daemons

Cause: the daemon had the spreading of reports of crashes but didn't run it. Change: datagrams, requests and replies of peers go to poison's spreading, which runs with the ticks; the table is exchanges_state::poison. Nothing decides by it yet. The shells pass the messages on as they are. No test covers the wiring itself yet.

--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -4,6 +4,7 @@
 #include "libraries/gateway/leaf_pool.hpp"
 #include "libraries/limits/latency_histogram.hpp"
 #include "libraries/limits/window_budget.hpp"
+#include "libraries/poison/poison.hpp"
 
 #include <queue>
 
@@ -152,6 +153,7 @@
                         fires_later>
         timers;
     boot_time sweep_at{}; // next check for overdue abandoned attempts
+    poison::state poison;
 };
 
 // The state and the context that one step of the reducers works on.
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -225,6 +225,8 @@
     update_serving_set_if_due(self, context.now);
     update_budget(self, context.now);
     maintain(self.pool, context);
+    poison::advance(self.spread, self.exchanges.poison,
+                    membership::view_of(self.members).members, context.shared);
     activate_table_if_prepared(self, context);
     auto exchanges = make_step(self, context);
     run_due_timers(exchanges);
@@ -323,18 +325,30 @@
 {
     membership::reduce(self.members, event, context.shared);
     pass_to_topology(self, event, context);
+    if (const auto* crashes =
+            std::get_if<wire::crash_reports>(&event.message)) {
+        poison::receive(self.spread, self.exchanges.poison, crashes->reports,
+                        to_string(event.from), context.shared);
+    }
 }
 
 void step(state& self, const peer_request_received& event, context& context)
 {
     membership::reduce(self.members, event, context.shared);
     pass_to_topology(self, event, context);
+    if (std::holds_alternative<wire::crash_reports_request>(event.request)) {
+        poison::reply_to_request(self.spread, self.exchanges.poison,
+                                 event.token, context.shared);
+    }
 }
 
 void step(state& self, const peer_reply_received& event, context& context)
 {
     membership::reduce(self.members, event, context.shared);
     pass_to_topology(self, event, context);
+    poison::handle_reply(self.spread, self.exchanges.poison, event,
+                         membership::view_of(self.members).members.size(),
+                         context.shared);
 }
 
 void step(state& self, const settings_changed& event, context& context)
@@ -344,6 +358,7 @@
     self.pool.settings = settings.pool;
     self.topology.settings = settings.topology;
     self.load.settings = settings.load;
+    self.spread.settings = settings.spread;
     self.members.settings = settings.membership;
     self.members.seeds = event.seeds;
     self.exchanges.settings = settings.exchanges;
@@ -428,6 +443,8 @@
     made.load.settings = settings.load;
     made.random = random_source{self.incarnation + 3};
     made.exchanges.settings = settings.exchanges;
+    made.spread =
+        poison::make_spread(settings.spread, self.incarnation + 4, now);
     return made;
 }
 
@@ -453,6 +470,7 @@
     next = std::min(next, self.store_role_due_at);
     next = std::min(next, next_wakeup(self.pool));
     next = std::min(next, next_wakeup(self.exchanges));
+    next = std::min(next, poison::next_wakeup(self.spread));
     return next;
 }
 
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include "libraries/gateway/load.hpp"
 #include "libraries/gateway/serving_set.hpp"
 #include "libraries/membership/membership.hpp"
+#include "libraries/poison/spread.hpp"
 
 #include <optional>
 
@@ -22,6 +23,7 @@
     serving_options serving;
     entry_options entries;
     load_options load;
+    poison::spread_options spread;
     // Processor share of this VM, in thousandths of a core; 0: unknown.
     std::uint32_t capacity = 0;
     // Site-wide slack of extra requests to one service in a window, which the
@@ -61,6 +63,7 @@
     topology::state topology;
     leaf_pool pool;
     exchanges_state exchanges;
+    poison::spread_state spread; // of exchanges.poison
     load_state load;
     serving_set serving;
     random_source random;
