poison: Refuse no request for the crashes of another one

Cause: each daemon blames what it had running on a leaf itself. Change: crashes at which another request was running that has crashed more leafs count as that one's. Requests with equal crashes at the same leafs are sent on, up to five crashes: the next attempt of either tells them apart. A refusal long after the last one renews the memory of all daemons: it counts as news when reports are merged. Evidence: a_request_that_ran_beside_poison_elsewhere_is_not_refused fails without this change, since both have three crashes; test_poison passes.

--- a/libraries/poison/poison.cpp
+++ b/libraries/poison/poison.cpp
@@ -51,13 +51,31 @@
     });
 }
 
+bool includes(const record& of, std::uint64_t leaf_process)
+{
+    return std::any_of(
+        of.crashes.begin(), of.crashes.end(),
+        [&](const crash& each) { return each.leaf_process == leaf_process; });
+}
+
+bool share_a_crash(const record& one, const record& other)
+{
+    return std::any_of(
+        one.crashes.begin(), one.crashes.end(),
+        [&](const crash& each) { return includes(other, each.leaf_process); });
+}
+
+void discard_crashes_of(record& from, const record& other)
+{
+    std::erase_if(from.crashes, [&](const crash& each) {
+        return includes(other, each.leaf_process);
+    });
+}
+
 bool insert(record& into, const crash& added, std::size_t max_kept)
 {
-    const auto same = [&](const crash& each) {
-        return each.leaf_process == added.leaf_process;
-    };
     if (added.sent_at < into.answered_at ||
-        std::any_of(into.crashes.begin(), into.crashes.end(), same)) {
+        includes(into, added.leaf_process)) {
         return false;
     }
     // Crashes that ended at the same time are ordered too, so that the count
@@ -109,6 +127,12 @@
     return count;
 }
 
+std::uint32_t crashes_of(const state& self, fingerprint of)
+{
+    const auto* known = find(self, of);
+    return known == nullptr ? 0 : consecutive_crashes(*known);
+}
+
 bool add_crash(state& self, fingerprint of, const crash& added, boot_time now)
 {
     auto& into = find_or_add(self, of);
@@ -139,8 +163,28 @@
 bool is_poison(const state& self, fingerprint of)
 {
     const auto* known = find(self, of);
-    return known != nullptr &&
-           consecutive_crashes(*known) >= self.settings.max_crashes;
+    if (known == nullptr) {
+        return false;
+    }
+    const auto crashes = consecutive_crashes(*known);
+    if (crashes < self.settings.max_crashes) {
+        return false;
+    }
+    record unexplained = *known;
+    bool tied = false;
+    for (const auto& [key, other] : self.records) {
+        if (key == raw(of) || !share_a_crash(*known, other)) {
+            continue;
+        }
+        const auto others = consecutive_crashes(other);
+        tied = tied || others == crashes;
+        if (others > crashes) {
+            discard_crashes_of(unexplained, other);
+        }
+    }
+    const auto own = consecutive_crashes(unexplained);
+    return own >=
+           (tied ? self.settings.max_tied_crashes : self.settings.max_crashes);
 }
 
 duration add_refusal(state& self, fingerprint of, boot_time now)
@@ -153,17 +197,13 @@
 std::vector<fingerprint> to_blame(const state& self,
                                   std::span<const fingerprint> running)
 {
-    const auto crashes_of = [&](fingerprint each) {
-        const auto* known = find(self, each);
-        return known == nullptr ? 0U : consecutive_crashes(*known);
-    };
     std::uint32_t most = 0;
     for (const auto each : running) {
-        most = std::max(most, crashes_of(each));
+        most = std::max(most, crashes_of(self, each));
     }
     std::vector<fingerprint> blamed;
     for (const auto each : running) {
-        if (crashes_of(each) == most) {
+        if (crashes_of(self, each) == most) {
             blamed.push_back(each);
         }
     }
@@ -184,14 +224,16 @@
         return false;
     }
     auto& into = find_or_add(self, of);
+    // A refusal long after the last one renews the retention everywhere.
+    bool changed = !into.crashes.empty() &&
+                   seen_at - into.seen_at >= self.settings.retention / 2;
     into.seen_at = std::max(into.seen_at, seen_at);
-    bool changed = false;
     const boot_time answered_at = time_of(report.answered_ms_ago, now);
     const bool was_suspect = !into.crashes.empty();
     if (answered_at > into.answered_at) {
         into.answered_at = answered_at;
         discard_crashes_before_answer(into);
-        changed = was_suspect && into.crashes.empty();
+        changed = changed || (was_suspect && into.crashes.empty());
     }
     for (const auto& each : report.crashes) {
         const crash added{each.leaf_process, time_of(each.sent_ms_ago, now),
--- a/libraries/poison/poison.hpp
+++ b/libraries/poison/poison.hpp
@@ -32,6 +32,9 @@
     // refused. Leafs that crash at the same time may have another cause in
     // common, so they count as one.
     std::uint32_t max_crashes = 3;
+    // The same for a request that has crashed no more leafs than another one
+    // that ran beside it: only further attempts tell which of them it was.
+    std::uint32_t max_tied_crashes = 5;
     // How long a request is remembered after it last crashed a leaf or was
     // refused.
     duration retention = std::chrono::minutes{10};
@@ -59,6 +62,9 @@
 // leaf of the previous one had crashed.
 std::uint32_t consecutive_crashes(const record&);
 
+// The same of a request; 0 if nothing is known of it.
+std::uint32_t crashes_of(const state&, fingerprint);
+
 // Adds a crash. Returns whether it was new.
 bool add_crash(state&, fingerprint, const crash&, boot_time now);
 
@@ -70,7 +76,8 @@
 // answered since.
 bool is_suspect(const state&, fingerprint);
 
-// Whether the request must not be sent to a leaf again.
+// Whether the request must not be sent to a leaf again. Crashes at which
+// another request was running that has crashed more leafs are that one's.
 bool is_poison(const state&, fingerprint);
 
 // Extends the retention of a request that was refused as poison. Returns how
--- a/tests/poison/table_test.cpp
+++ b/tests/poison/table_test.cpp
@@ -50,6 +50,47 @@
     BOOST_TEST((blamed[0] == bad));
 }
 
+// Where few leafs are left, an innocent request may run beside the poison at
+// each of them, at another daemon, which blames it: the reports of both daemons
+// tell them apart.
+BOOST_AUTO_TEST_CASE(a_request_that_ran_beside_poison_elsewhere_is_not_refused)
+{
+    constexpr fingerprint innocent{2};
+    state table;
+    state elsewhere;
+    for (std::uint64_t process = 1; process <= 3; ++process) {
+        const int sent = static_cast<int>(process) * 100;
+        add_crash(table, bad, crash_of(process, sent, sent + 50),
+                  at(sent + 50));
+        add_crash(elsewhere, innocent, crash_of(process, sent, sent + 50),
+                  at(sent + 50));
+    }
+    merge(table, report_of(elsewhere, innocent, at(400)), at(400));
+    BOOST_TEST(!is_poison(table, innocent));
+    BOOST_TEST(!is_poison(table, bad));
+    add_crash(table, bad, crash_of(4, 410, 450), at(450));
+    BOOST_TEST(is_poison(table, bad));
+    BOOST_TEST(!is_poison(table, innocent));
+    merge(elsewhere, report_of(table, bad, at(500)), at(500));
+    BOOST_TEST(is_poison(elsewhere, bad));
+    BOOST_TEST(!is_poison(elsewhere, innocent));
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_always_crash_together_are_refused_at_last)
+{
+    state table;
+    for (std::uint64_t process = 1; process <= 5; ++process) {
+        const int sent = static_cast<int>(process) * 100;
+        BOOST_TEST(!is_poison(table, bad));
+        for (const auto of : {bad, fingerprint{2}}) {
+            add_crash(table, of, crash_of(process, sent, sent + 50),
+                      at(sent + 50));
+        }
+    }
+    BOOST_TEST(is_poison(table, bad));
+    BOOST_TEST(is_poison(table, fingerprint{2}));
+}
+
 BOOST_AUTO_TEST_CASE(the_table_stays_within_its_limit_and_keeps_poison)
 {
     state table;
