gateway: Share the crashes that a daemon has seen

Cause: a request comes again at any daemon, and what one has learned of crashes stayed there: to_share was filled and never emptied, and reports of others did not end attempts in progress. Change: gateway.cpp queues what to_share holds for the spreading, and answers requests in progress that a report makes poison. Evidence: crashes_seen_by_three_daemons_make_a_request_poison: a daemon that has seen one crash reports it after the delay of first crashes, and one that learns of three refuses the request before any leaf is asked.

--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -359,6 +359,22 @@
     pass_to_topology(self, event, context);
 }
 
+// Answers the requests in progress that peers have reported as poison.
+void finish_poison(state& self, context& context)
+{
+    auto exchanges = make_step(self, context);
+    gateway::finish_poison(exchanges);
+}
+
+// Queues for other daemons what the exchanges have learned of crashes.
+void share_crashes(state& self, boot_time now)
+{
+    const auto& table = self.exchanges.poison;
+    for (const auto of : std::exchange(self.exchanges.to_share, {})) {
+        poison::share(self.spread, of, poison::crashes_of(table, of), now);
+    }
+}
+
 void step(state& self, const datagram_received& event, context& context)
 {
     membership::reduce(self.members, event, context.shared);
@@ -367,6 +383,7 @@
             std::get_if<wire::crash_reports>(&event.message)) {
         poison::receive(self.spread, self.exchanges.poison, crashes->reports,
                         to_string(event.from), context.shared);
+        finish_poison(self, context);
     }
 }
 
@@ -387,6 +404,7 @@
     poison::handle_reply(self.spread, self.exchanges.poison, event,
                          membership::view_of(self.members).members.size(),
                          context.shared);
+    finish_poison(self, context);
 }
 
 void step(state& self, const settings_changed& event, context& context)
@@ -497,6 +515,7 @@
     }
     std::visit([&](const auto& concrete) { step(self, concrete, context); },
                what);
+    share_crashes(self, context.now);
     finish_stop_if_due(self, context);
 }
 
--- a/tests/gateway/poison_test.cpp
+++ b/tests/gateway/poison_test.cpp
@@ -123,6 +123,46 @@
     BOOST_TEST(take<send_to_leaf>().size() == 1U);
 }
 
+// BUDGET: each daemon saw one crash and none of the others'.
+BOOST_FIXTURE_TEST_CASE(crashes_seen_by_three_daemons_make_a_request_poison,
+                        crashing_fixture)
+{
+    make_single_route(true, 8);
+    crashing_fixture other;
+    other.make_single_route(true, 8);
+    // Leafs of their own, or both would see the same process end.
+    other.publish(gateway_fixture::leaf("two-0", "one"));
+    for (int i = 0; i < 8; ++i) {
+        other.publish(gateway_fixture::leaf("one-" + std::to_string(i), "one"),
+                      true);
+    }
+    other.settle(seconds{3});
+    other.send_request("/s/poison");
+    other.settle(seconds{2});
+    BOOST_REQUIRE_EQUAL(other.poisoned, 1U);
+    wire::crash_reports reports;
+    for (const auto& each : other.shared) {
+        const auto* sent = std::get_if<send_datagram>(&each);
+        const auto* found =
+            sent == nullptr ? nullptr
+                            : std::get_if<wire::crash_reports>(&sent->message);
+        reports = found == nullptr ? reports : *found;
+    }
+    BOOST_REQUIRE_EQUAL(reports.reports.size(), 1U);
+    BOOST_REQUIRE_EQUAL(reports.reports.front().crashes.size(), 1U);
+    // Three crashes of different leafs, one after the other.
+    auto& report = reports.reports.front();
+    report.crashes = {{1, 900, 800}, {2, 700, 600}, {3, 500, 400}};
+    const endpoint from = parse_endpoint("127.0.0.1:7004").value();
+    send_request("/s/other");
+    feed(datagram_received{from, reports});
+    BOOST_TEST(take<answer_request>().empty());
+    effects.clear();
+    send_request("/s/poison");
+    BOOST_TEST(take<send_to_leaf>().empty());
+    BOOST_TEST((only_answer().kind == answer_kind::not_run));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_reset_connection_to_a_living_leaf_is_no_crash,
                         crashing_fixture)
 {
