gateway: Recognise a poison request by what leafs see of it

Cause: the fingerprint held the address from which the caller connects. In the record the same request reaches daemons of all three data centres, and the trial with logged requests shows that callers of a data centre use its daemons, each from its own address. So the address differed each time, and no two crashes were of one fingerprint. Verdicts were right: in a trial with crashing leafs E8020 says crashed=1 after 2 ms. Change: the fingerprint takes what a leaf gets: method, host, target, body, and the Authorization header as the caller's identity. A leaf never sees the address, so it can't crash by it.

--- a/libraries/gateway/crash_watch.cpp
+++ b/libraries/gateway/crash_watch.cpp
@@ -17,7 +17,7 @@
 
 poison::fingerprint fingerprint_of(const forward_request& request)
 {
-    std::uint64_t hash = stable_hash(request.caller);
+    std::uint64_t hash = stable_hash(request.credentials);
     for (const auto* text :
          {&request.method, &request.host, &request.target, &request.body}) {
         hash = stable_hash(*text, hash);
--- a/libraries/gateway/event.hpp
+++ b/libraries/gateway/event.hpp
@@ -18,9 +18,8 @@
     std::string target;   // path and query
     http::fields headers; // forwarded unchanged
     std::string body;
-    std::string caller;    // identifies who sent it, and is alike when it
-                           // comes again
-    duration time_left{0}; // until the caller's deadline; 0: not given
+    std::string credentials; // with which its caller identifies itself
+    duration time_left{0};   // until the caller's deadline; 0: not given
 };
 
 using request_pointer = std::shared_ptr<const forward_request>;
--- a/libraries/gateway_shell/protocol.hpp
+++ b/libraries/gateway_shell/protocol.hpp
@@ -17,8 +17,7 @@
     // answers are dropped.
     std::string correlation_header;
     // Fails with errc::malformed for a request that must not be forwarded.
-    result<std::shared_ptr<gateway::forward_request>> (*read_request)(
-        http::request);
+    result<gateway::request_pointer> (*read_request)(http::request);
     http::response (*write_answer)(const gateway::forward_answer&);
     http::request (*write_leaf_request)(const gateway::send_to_leaf&);
     gateway::leaf_reply (*read_reply)(http::response);
--- a/libraries/gateway_shell/runner.cpp
+++ b/libraries/gateway_shell/runner.cpp
@@ -169,12 +169,7 @@
         caller_server_->respond(token, http::response{400, "", {}, ""});
         return;
     }
-    auto received = std::move(request).value();
-    // A caller comes again from the same address, but from another port.
-    if (const auto peer = caller_server_->peer_of(token)) {
-        received->caller = address_text(*peer);
-    }
-    post(gateway::forward_requested{token, std::move(received)});
+    post(gateway::forward_requested{token, std::move(request).value()});
 }
 
 http::response runner::answer_readiness(const http::request& asked)
--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -213,13 +213,6 @@
     }
 }
 
-std::optional<endpoint> server::peer_of(caller_token token) const
-{
-    const auto found = open_.find(raw(token));
-    return found == open_.end() ? std::nullopt
-                                : std::optional{found->second->peer};
-}
-
 void server::disconnect(caller_token token)
 {
     const auto found = open_.find(raw(token));
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -7,7 +7,6 @@
 #include "libraries/shell/handles.hpp"
 
 #include <functional>
-#include <optional>
 #include <unordered_map>
 
 namespace bulrushspring::http
@@ -71,9 +70,6 @@
     std::size_t unanswered() const { return count(phase::answering); }
     std::size_t unsent() const { return count(phase::flushing); }
 
-    // The caller that sent a request; nothing if it has disconnected.
-    std::optional<endpoint> peer_of(caller_token token) const;
-
 private:
     // reading: waits for or receives a request. answering: waits for the
     // owner's answer. flushing: sends it. lingering: discards input until the
--- a/libraries/poison/poison.hpp
+++ b/libraries/poison/poison.hpp
@@ -16,8 +16,8 @@
 namespace bulrushspring::poison
 {
 
-// Identifies requests that are alike: the same caller, method, host, target and
-// body.
+// Identifies requests that are alike to a leaf: the same credentials, method,
+// host, target and body.
 enum class fingerprint : std::uint64_t {};
 
 // A leaf process that ended while a request was running on it.
