tests: Daemons refuse a request that crashes leafs at any of them

Real daemons, and leafs that end their process when they run one request and are back after a second as another process. The caller asks all daemons in turn. The leafs of this test are published without their proxies, which accept connections to a leaf that is down.

--- a/fakes/site/leaf.cpp
+++ b/fakes/site/leaf.cpp
@@ -43,7 +43,13 @@
 
 leaf::leaf(event_base* base, leaf_options options, run_counts& runs,
            std::uint64_t seed)
-    : base_(base), options_(std::move(options)), runs_(runs), random_(seed)
+    : base_(base), options_(std::move(options)), runs_(runs), random_(seed),
+      crash_(event_new(base, -1, 0, on_crash, this))
+{
+    listen();
+}
+
+void leaf::listen()
 {
     http::server_events events;
     events.on_request = [this](caller_token token, http::request request) {
@@ -51,7 +57,22 @@
     };
     events.on_disconnected = [](caller_token) {};
     events.on_rejected = [](unsigned, const endpoint&) {};
-    server_ = http::server::listen(base, options_.address, events).value();
+    server_ = http::server::listen(base_, options_.address, events).value();
+}
+
+void leaf::restart()
+{
+    ++born_;
+    listen();
+}
+
+void leaf::on_crash(evutil_socket_t /*socket*/, short /*events*/,
+                    void* argument)
+{
+    auto& self = *static_cast<leaf*>(argument);
+    self.running_.clear();
+    self.queued_.clear();
+    self.server_.reset();
 }
 
 std::string leaf::published(bool draining) const
@@ -63,6 +84,7 @@
                           {"slots", options_.slots},
                           {"state", draining ? "draining" : "ready"},
                           {"coldRemainingMs", 0},
+                          {"born", born_},
                           {"sequence", 1}}
         .dump();
 }
@@ -87,6 +109,12 @@
         refuse(token, 503);
         return;
     }
+    if (!faults.poison_target.empty() &&
+        request.target == faults.poison_target) {
+        const auto until_crash = shell::to_timeval(options_.work);
+        event_add(crash_.get(), &until_crash);
+        return;
+    }
     auto created = std::make_unique<job>();
     created->owner = this;
     created->token = token;
--- a/fakes/site/leaf.hpp
+++ b/fakes/site/leaf.hpp
@@ -33,6 +33,8 @@
     double truncate = 0;    // executed, second half of the answer missing
     double repeat = 0;      // executed, answer sent twice
     double slow_factor = 1; // multiplies the service time
+    // A request for this target ends the leaf's process while it runs.
+    std::string poison_target;
 };
 
 // A simulated leaf that serves one service over HTTP.
@@ -46,7 +48,15 @@
     leaf_faults faults;
     std::size_t arrivals() const { return arrivals_; }
     boot_time last_arrival() const { return last_arrival_; }
-    std::size_t connections() const { return server_->connections(); }
+    std::size_t connections() const
+    {
+        return server_ ? server_->connections() : 0;
+    }
+
+    // Whether its process has ended: it accepts no connections.
+    bool crashed() const { return server_ == nullptr; }
+    // Starts it again under its id, as another process.
+    void restart();
 
     // The JSON description that the store publishes for this leaf.
     std::string published(bool draining) const;
@@ -59,18 +69,22 @@
         shell::event_handle done;
     };
 
+    void listen();
     void handle_request(caller_token token, http::request request);
     void refuse(caller_token token, unsigned status);
     void start_queued();
     void send_answer(const job& done);
     static void on_work_done(evutil_socket_t socket, short events,
                              void* argument);
+    static void on_crash(evutil_socket_t socket, short events, void* argument);
 
     event_base* base_;
     leaf_options options_;
     run_counts& runs_;
     random_source random_;
     std::unique_ptr<http::server> server_;
+    shell::event_handle crash_;
+    std::int64_t born_ = 1; // rises with each start
     std::vector<std::unique_ptr<job>> running_;
     std::vector<std::unique_ptr<job>> queued_;
     std::size_t arrivals_ = 0;
--- /dev/null
+++ b/tests/soak/poison_test.cpp
@@ -0,0 +1,145 @@
+#include "fakes/site/site.hpp"
+#include "libraries/http/client.hpp"
+#include "platform/names.hpp"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <filesystem>
+
+using namespace bulrushspring;
+
+namespace
+{
+
+constexpr std::string_view poison_target = "/s/poison";
+constexpr milliseconds downtime{1000};
+// bounds.stabilityWindowMs of the users' deployments.
+constexpr milliseconds stability_window{4000};
+constexpr std::size_t max_late_crashes = 3;
+
+// Real daemons, leafs that crash, and a caller that asks all daemons in turn.
+struct crashing_site {
+    shell::base_handle base = client::make_event_base();
+    site::installation site;
+    http::client http;
+    system_boot_clock clock;
+    std::vector<boot_time> crashes;
+    std::map<const site::leaf*, boot_time> down_since;
+    std::map<std::uint64_t, http::request> unsent;         // by connection
+    std::vector<std::pair<std::string, unsigned>> answers; // target, status
+
+    explicit crashing_site(const site::site_options& options)
+        : site(base.get(), options),
+          http(base.get(), {65536, 65536},
+               std::string(platform::names::request_id),
+               {[this](connection_id id) { http.send(id, unsent.at(raw(id))); },
+                [this](connection_id id, const http::response& answer, bool) {
+                    answers.emplace_back(unsent.at(raw(id)).target,
+                                         answer.status);
+                    http.close(id);
+                },
+                [](connection_id, const error&) {}})
+    {
+        // Without the proxies, which accept connections to crashed leafs.
+        for (auto& each : site.leafs) {
+            each.server->faults.poison_target = poison_target;
+            publish(*each.server);
+        }
+        for (auto& each : site.daemons) {
+            site.start(each);
+        }
+    }
+
+    void publish(const site::leaf& leaf)
+    {
+        site.platform_store.put("servers/" + leaf.options().id,
+                                leaf.published(false));
+    }
+
+    void watch_leafs()
+    {
+        for (auto& each : site.leafs) {
+            auto& leaf = *each.server;
+            if (!leaf.crashed()) {
+                continue;
+            }
+            if (down_since.emplace(&leaf, clock.now()).second) {
+                crashes.push_back(clock.now());
+            } else if (clock.now() - down_since[&leaf] >= downtime) {
+                down_since.erase(&leaf);
+                leaf.restart();
+                publish(leaf);
+            }
+        }
+    }
+
+    void run_for(duration span)
+    {
+        for (const auto end = clock.now() + span; clock.now() < end;) {
+            const auto turn = shell::to_timeval(milliseconds{5});
+            event_base_loopexit(base.get(), &turn);
+            event_base_dispatch(base.get());
+            watch_leafs();
+        }
+    }
+
+    void ask(std::size_t daemon, std::string_view target)
+    {
+        const connection_id id{unsent.size() + 1};
+        unsent[raw(id)] = {"GET",
+                           std::string(target),
+                           {{"Host", "site.example"},
+                            {std::string(platform::names::request_id),
+                             "p" + std::to_string(raw(id))},
+                            {std::string(platform::names::deadline), "1500"}},
+                           ""};
+        http.open(id, site.callers_address(
+                          site.daemons[daemon % site.daemons.size()]));
+    }
+};
+
+} // namespace
+
+// BUDGET: the same request was sent to leafs again and again, by another daemon
+// each time, although it had crashed every leaf that ran it.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_leafs_is_refused_by_all_daemons)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto directory =
+        std::filesystem::temp_directory_path() /
+        ("bulrushspring-test-poison-" + std::to_string(getpid()));
+    std::filesystem::create_directories(directory);
+    site::site_options options;
+    options.program =
+        std::string(BULRUSHSPRING_BINARY_FOLDER) + "/bulrushspring-platformd";
+    options.folder = directory.string();
+    crashing_site running(options);
+    running.run_for(seconds{3});
+    constexpr std::size_t rounds = 30;
+    for (std::size_t round = 0; round < rounds; ++round) {
+        running.ask(round, poison_target);
+        running.ask(round + 1, "/s/" + std::to_string(round % 3));
+        running.run_for(milliseconds{350});
+    }
+    running.run_for(seconds{2});
+    BOOST_REQUIRE(running.crashes.size() >= 3U);
+    const auto late = std::count_if(
+        running.crashes.begin(), running.crashes.end(), [&](boot_time at) {
+            return at > running.crashes[2] + stability_window;
+        });
+    BOOST_TEST(static_cast<std::size_t>(late) <= max_late_crashes);
+    BOOST_TEST_MESSAGE(running.crashes.size()
+                       << " crashes, " << late << " of them late");
+    std::size_t refused = 0;
+    std::size_t served = 0;
+    for (std::size_t i = running.answers.size() / 2; i < running.answers.size();
+         ++i) {
+        const auto& [target, status] = running.answers[i];
+        const bool poison = target == poison_target;
+        refused += poison && status == 503 ? 1 : 0;
+        served += !poison && status == 200 ? 1 : 0;
+    }
+    BOOST_TEST(refused > rounds / 3);
+    BOOST_TEST(served > rounds / 3);
+}
