shell: Forget the answer of a caller that leaves while it is sent

What callers saw: nothing; found by the review of the lost request. Cause: libevent does not report an answer as complete if its caller leaves. The answer stayed counted, and each later planned stop lasted the full second that slow callers are given. Change: the connections that an answer is sent on are kept, and their close is reported; the destructor clears their callbacks too.

--- a/libraries/shell/caller_server.cpp
+++ b/libraries/shell/caller_server.cpp
@@ -171,6 +171,9 @@
     for (const auto& [connection, token] : connections_) {
         evhttp_connection_set_closecb(connection, nullptr, nullptr);
     }
+    for (auto* connection : sending_) {
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    }
 }
 
 result<std::unique_ptr<caller_server>>
@@ -238,6 +241,10 @@
 void caller_server::on_close(evhttp_connection* connection, void* self)
 {
     auto* server = static_cast<caller_server*>(self);
+    if (server->sending_.erase(connection) > 0) {
+        server->report_if_finished();
+        return;
+    }
     const auto found = server->connections_.find(connection);
     if (found == server->connections_.end()) {
         return;
@@ -295,17 +302,21 @@
 void caller_server::send(evhttp_request* request, int status,
                          std::string_view body)
 {
-    if (evhttp_request_get_connection(request) != nullptr) {
-        ++unsent_;
+    auto* connection = evhttp_request_get_connection(request);
+    if (connection != nullptr) {
+        sending_.insert(connection);
         evhttp_request_set_on_complete_cb(request, on_sent, this);
+        evhttp_connection_set_closecb(connection, on_close, this);
     }
     reply(request, status, json_content_type, body);
 }
 
-void caller_server::on_sent(evhttp_request* /*request*/, void* self)
+void caller_server::on_sent(evhttp_request* request, void* self)
 {
     auto& server = *static_cast<caller_server*>(self);
-    --server.unsent_;
+    auto* connection = evhttp_request_get_connection(request);
+    server.sending_.erase(connection);
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
     server.report_if_finished();
 }
 
@@ -328,7 +339,7 @@
 
 void caller_server::report_if_finished()
 {
-    if (finishing_ && finished_ && pending_.empty() && unsent_ == 0) {
+    if (finishing_ && finished_ && pending_.empty() && sending_.empty()) {
         std::exchange(finished_, nullptr)();
     }
 }
--- a/libraries/shell/caller_server.hpp
+++ b/libraries/shell/caller_server.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace bulrushspring::shell
 {
@@ -58,7 +59,8 @@
     std::uint64_t last_token_ = 0;
     bool closing_ = false;
     std::unordered_map<caller_token, evhttp_request*> pending_;
-    std::size_t unsent_ = 0; // answers that are not completely sent
+    // Connections with an answer that is not completely sent.
+    std::unordered_set<evhttp_connection*> sending_;
     event_handle deferred_finish_;
     bool finishing_ = false;
     std::function<void()> finished_;
