poison: Count the crashes after those of many shards

Cause: the eight crashes kept of a request were the earliest. The first attempts of a query over ten shards crash ten leafs at one moment, which count once and filled the record: no later crash was ever counted. Change: of too many crashes, one that does not count as a further one goes. Evidence: crashes_after_those_of_many_shards_still_count fails before.

--- a/libraries/poison/poison.cpp
+++ b/libraries/poison/poison.cpp
@@ -72,6 +72,22 @@
     });
 }
 
+// Discards the last crash that does not count as a further one, since the count
+// must not suffer; the last of all if each counts.
+void discard_one(record& from)
+{
+    auto discarded = std::prev(from.crashes.end());
+    boot_time ended_at = boot_time::min();
+    for (auto it = from.crashes.begin(); it != from.crashes.end(); ++it) {
+        if (it->sent_at > ended_at) {
+            ended_at = it->ended_at;
+        } else {
+            discarded = it;
+        }
+    }
+    from.crashes.erase(discarded);
+}
+
 bool insert(record& into, const crash& added, std::size_t max_kept)
 {
     if (added.sent_at < into.answered_at ||
@@ -87,12 +103,10 @@
     into.crashes.insert(std::upper_bound(into.crashes.begin(),
                                          into.crashes.end(), added, ends_later),
                         added);
-    if (into.crashes.size() <= max_kept) {
-        return true;
+    if (into.crashes.size() > max_kept) {
+        discard_one(into);
     }
-    const bool last = into.crashes.back().leaf_process == added.leaf_process;
-    into.crashes.pop_back();
-    return !last;
+    return includes(into, added.leaf_process);
 }
 
 // Ages in messages, in milliseconds.
--- a/tests/poison/table_test.cpp
+++ b/tests/poison/table_test.cpp
@@ -76,6 +76,21 @@
     BOOST_TEST(!is_poison(elsewhere, innocent));
 }
 
+// The first attempts of a query over many shards filled its record, so that no
+// later crash was counted.
+BOOST_AUTO_TEST_CASE(crashes_after_those_of_many_shards_still_count)
+{
+    state table;
+    for (std::uint64_t process = 1; process <= 20; ++process) {
+        add_crash(table, bad, crash_of(process, 0, 10), at(10));
+    }
+    add_crash(table, bad, crash_of(21, 20, 30), at(30));
+    BOOST_TEST(add_crash(table, bad, crash_of(22, 40, 50), at(50)));
+    BOOST_TEST(is_poison(table, bad));
+    BOOST_TEST(table.records.at(1).crashes.size() <=
+               table.settings.max_crashes_kept);
+}
+
 BOOST_AUTO_TEST_CASE(requests_that_always_crash_together_are_refused_at_last)
 {
     state table;
--- a/tests/soak/poison_test.cpp
+++ b/tests/soak/poison_test.cpp
@@ -100,7 +100,9 @@
 
 // Sends the poison and an innocent request of the same route to daemons in
 // turn, and checks how many leafs it crashes and that others are served.
-void check_poison(const std::string& prefix, std::size_t crashes_at_once)
+void check_poison(const std::string& prefix, std::size_t crashes_at_once,
+                  std::size_t innocents_per_round, std::size_t daemons,
+                  std::size_t shards)
 {
     std::signal(SIGPIPE, SIG_IGN);
     const auto directory =
@@ -111,14 +113,20 @@
     options.program =
         std::string(BULRUSHSPRING_BINARY_FOLDER) + "/bulrushspring-platformd";
     options.folder = directory.string();
+    options.daemons = daemons;
+    options.shards = shards;
     const auto poison = prefix + "poison";
     crashing_site running(options, poison);
     running.run_for(seconds{3});
     constexpr std::size_t rounds = 30;
     for (std::size_t round = 0; round < rounds; ++round) {
         running.ask(round, poison);
-        running.ask(round + 1, prefix + std::to_string(round % 3));
-        running.run_for(milliseconds{350});
+        for (std::size_t i = 0; i < innocents_per_round; ++i) {
+            running.ask(round + 1 + i, prefix + std::to_string(round % 3) +
+                                           "-" + std::to_string(i));
+            running.run_for(milliseconds{350} /
+                            static_cast<int>(innocents_per_round));
+        }
     }
     running.run_for(seconds{2});
     BOOST_REQUIRE(running.crashes.size() >= 3U);
@@ -148,11 +156,17 @@
 // each time, although it had crashed every leaf that ran it.
 BOOST_AUTO_TEST_CASE(a_request_that_crashes_leafs_is_refused_by_all_daemons)
 {
-    check_poison("/s/", 2);
+    check_poison("/s/", 2, 1, 4, 4);
 }
 
 // A query runs on a leaf of each shard at the same time.
 BOOST_AUTO_TEST_CASE(a_query_that_crashes_leafs_is_refused_by_all_daemons)
 {
-    check_poison("/q/", 8);
+    check_poison("/q/", 8, 1, 4, 4);
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_query_that_crashes_leafs_under_load_is_refused_by_all_daemons)
+{
+    check_poison("/q/", 20, 60, 10, 10);
 }
