--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/configuration/readers.hpp"
 #include "libraries/gateway/events.hpp"
+#include "libraries/gateway/planned_stop.hpp"
 
 #include <algorithm>
 
@@ -16,9 +17,6 @@
 }
 
 constexpr milliseconds store_role_interval{200};
-// The last answers have at least this long to be sent, also if the end of a
-// planned stop is noticed late.
-constexpr milliseconds min_sending_time{100};
 
 // Determines this daemon's role in reading the store. A daemon without any
 // records lists the store at once, independently of other readers. One that
@@ -235,36 +233,6 @@
     run_due_timers(exchanges);
 }
 
-// When all requests in progress at a planned stop get their final answer.
-boot_time stop_deadline(const state& self)
-{
-    return *self.stop_requested_at + self.settings.stop_grace -
-           self.settings.stop_reserve;
-}
-
-// When no caller can still cache this daemon's address.
-boot_time address_expiry(const state& self)
-{
-    return *self.stop_requested_at +
-           self.settings.entries_ttl *
-               (self.settings.max_ttl_multiple + std::int64_t{1});
-}
-
-// Whether a planned stop leaves no time for a further request. Callers that can
-// still cache this daemon's address are served for most of the stop.
-bool refuses_requests(const state& self, boot_time now)
-{
-    if (!self.stop_requested_at) {
-        return false;
-    }
-    const duration usable = stop_deadline(self) - *self.stop_requested_at;
-    const auto serving_time = std::chrono::duration_cast<duration>(
-        usable * self.settings.stop_serving_share);
-    return self.stopped ||
-           now >= std::min(address_expiry(self),
-                           *self.stop_requested_at + serving_time);
-}
-
 void step(state& self, const forward_requested& event, context& context)
 {
     context.count(metrics::counter::caller_requests);
@@ -438,31 +406,6 @@
                                           self.settings.stop_reserve))));
 }
 
-// Ends a planned stop once no caller can still cache this daemon's address and
-// nothing is in progress, or at the latest shortly before the stop grace
-// period ends.
-void finish_stop_if_due(state& self, context& context)
-{
-    if (!self.stop_requested_at || self.stopped) {
-        return;
-    }
-    const bool finished =
-        context.now >= address_expiry(self) && in_progress(self) == 0;
-    if (!finished && context.now < stop_deadline(self)) {
-        return;
-    }
-    self.stopped = true;
-    const duration waited = context.now - *self.stop_requested_at;
-    context.log(make_record(stop_done,
-                            field("waited_ms", to_milliseconds(waited)),
-                            field("cut", in_progress(self))));
-    auto exchanges = make_step(self, context);
-    finish_all(exchanges);
-    context.emit(end_process{
-        std::max(self.settings.stop_grace - self.settings.exit_reserve - waited,
-                 duration{min_sending_time})});
-}
-
 // Adds the delay with which the due timer is handled to the load average.
 void update_load(state& self, context& context)
 {
