http: Bound answers that never end

A server in trouble may send bytes without end that are no answer. A client kept or skipped them until its owner closed the connection. What callers see of it was concluded from reading, not from a run: no retry before the owner's deadlines, and a daemon whose memory grows until then.

Cause: Beast's header limit covers the status line and headers only, and its body limit the contents of chunks only. A chunk size, a chunk extension or trailers without an end stayed in the input buffer. Interim answers, answers to other requests and chunks with long extensions were parsed away without a count. Nothing bounded what all connections hold together: each may hold 8 MiB.

Change: bounds on unparsed bytes (header_bytes), on skipped answers (16), on bytes parsed for one request (eight times the limits) and on the contents of all unfinished answers of a client (32 MiB, above which the connection that holds the most fails). Each closes the connection through on_closed, as other malformed answers do, never through on_answer. Causes say what was expected and found. Valid answers in chunks of one byte up to the body limit, with trailers within header_bytes, still arrive. Rejected from now on: a chunk header or trailers above header_bytes, more than 16 skipped answers.

Not done: peer streams, a test of the store client by itself (it uses this client), a slow drip, a test through the gateway.

--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -13,6 +13,35 @@
 // The kernel closes a connection whose sent bytes stay unacknowledged for this
 // long, as on a network partition or when the peer's machine stops.
 constexpr milliseconds unacknowledged_timeout{2000};
+// The number of interim and late answers skipped while one answer is awaited.
+constexpr std::size_t max_skipped_answers = 16;
+// A body in chunks of one byte takes six times its size on the connection.
+constexpr std::uint64_t max_framing_factor = 8;
+// The bound on the bytes that all unfinished answers of a client hold together.
+constexpr std::uint64_t max_held_bytes = 32UL * 1024 * 1024;
+
+// The bytes that an unfinished answer occupies after parsing.
+std::uint64_t size_of(const response& answer)
+{
+    std::uint64_t total = answer.body.size();
+    for (const auto& each : answer.headers) {
+        total += each.name.size() + each.value.size();
+    }
+    return total;
+}
+
+std::string describe_failure(parse_status status, const size_limits& limits)
+{
+    if (status == parse_status::header_too_long) {
+        return "expected headers of at most " +
+               std::to_string(limits.header_bytes) + " bytes, found more";
+    }
+    if (status == parse_status::body_too_long) {
+        return "expected a body of at most " +
+               std::to_string(limits.body_bytes) + " bytes, found more";
+    }
+    return "expected an HTTP/1.1 answer, found a malformed one";
+}
 
 void set_options(evutil_socket_t socket)
 {
@@ -47,8 +76,11 @@
     shell::stream_handle buffer;
     bool connected = false;
     std::optional<response_parser> parser; // set while an answer is outstanding
-    bool head_request = false; // the outstanding request is a HEAD request
-    std::string correlation;   // of the outstanding request
+    bool head_request = false;  // the outstanding request is a HEAD request
+    std::string correlation;    // of the outstanding request
+    std::size_t skipped = 0;    // answers skipped since the request
+    std::uint64_t accepted = 0; // bytes parsed since the request
+    std::uint64_t held = 0;     // bytes kept, unparsed ones included
 };
 
 client::client(event_base* base, const size_limits& limits,
@@ -90,6 +122,8 @@
     to.head_request = message.method == "HEAD";
     to.parser.emplace(limits_, to.head_request);
     to.correlation = header_value(message.headers, correlation_header_);
+    to.skipped = 0;
+    to.accepted = 0;
     write_immediately(to.buffer.get(), serialize_message(message));
 }
 
@@ -118,18 +152,20 @@
     evbuffer* input = bufferevent_get_input(from.buffer.get());
     if (!from.parser) {
         fail(from, errc::malformed,
-             "received data with no request outstanding");
+             "expected no data without a request outstanding, found some");
         return;
     }
     for (;;) {
         std::size_t used = 0;
         const auto state = from.parser->feed(shell::content_of(input), used);
         evbuffer_drain(input, used);
+        from.accepted += used;
         if (state == parse_status::need_more) {
+            check_bounds(from);
             return;
         }
         if (state != parse_status::done) {
-            fail(from, errc::malformed, "malformed answer");
+            fail(from, errc::malformed, describe_failure(state, limits_));
             return;
         }
         const auto& answer = from.parser->message();
@@ -142,14 +178,64 @@
             break;
         }
         // Skips an interim answer or a late answer to an earlier request.
+        if (++from.skipped > max_skipped_answers) {
+            fail(from, errc::malformed,
+                 "expected the answer to the request, found more than " +
+                     std::to_string(max_skipped_answers) +
+                     " interim or late answers");
+            return;
+        }
         from.parser.emplace(limits_, from.head_request);
     }
     const bool clean = evbuffer_get_length(input) == 0;
     deliver(from, clean && from.parser->keep_alive());
 }
 
+// Fails the connection if its unfinished answer exceeds the bounds, or else
+// the one that holds the most if all of them together exceed theirs. The
+// connection may be gone afterwards.
+void client::check_bounds(connection& from)
+{
+    const std::uint64_t unparsed =
+        evbuffer_get_length(bufferevent_get_input(from.buffer.get()));
+    const std::uint64_t accepted_limit =
+        max_framing_factor * (limits_.header_bytes + limits_.body_bytes);
+    if (unparsed > limits_.header_bytes) {
+        fail(from, errc::malformed,
+             "expected chunk headers and trailers of at most " +
+                 std::to_string(limits_.header_bytes) + " bytes, found " +
+                 std::to_string(unparsed) + " bytes without an end");
+        return;
+    }
+    if (from.accepted > accepted_limit) {
+        fail(from, errc::malformed,
+             "expected an answer within " + std::to_string(accepted_limit) +
+                 " bytes, found no end after " + std::to_string(from.accepted));
+        return;
+    }
+    hold(from, unparsed + size_of(from.parser->message()));
+    if (held_bytes_ <= max_held_bytes) {
+        return;
+    }
+    const auto largest = std::max_element(
+        open_.begin(), open_.end(), [](const auto& one, const auto& other) {
+            return one.second->held < other.second->held;
+        });
+    fail(*largest->second, errc::too_large,
+         "expected unfinished answers of at most " +
+             std::to_string(max_held_bytes) + " bytes in total, found " +
+             std::to_string(held_bytes_) + ", the largest here");
+}
+
+void client::hold(connection& by, std::uint64_t bytes)
+{
+    held_bytes_ = held_bytes_ - by.held + bytes;
+    by.held = bytes;
+}
+
 void client::deliver(connection& from, bool reusable)
 {
+    hold(from, 0);
     response answer = std::move(from.parser->message());
     from.parser.reset();
     const connection_id id = from.id;
@@ -200,6 +286,7 @@
     if (found == open_.end()) {
         return;
     }
+    hold(retired, 0);
     bufferevent_disable(retired.buffer.get(), EV_READ | EV_WRITE);
     bufferevent_setcb(retired.buffer.get(), nullptr, nullptr, nullptr, nullptr);
     retired_.push_back(std::move(found->second));
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -25,7 +25,8 @@
 
 // HTTP/1.1 connections to any number of servers, each with at most one request
 // outstanding. There are no timeouts here: the owner closes connections that
-// take too long.
+// take too long. Bytes that are no answer are bounded, as docs/design/http.md
+// describes.
 class client
 {
 public:
@@ -53,12 +54,15 @@
     static void on_free_retired(evutil_socket_t socket, short what, void* self);
     void handle_input(connection& from);
     bool matches_request(const connection& to, const response& answer) const;
+    void check_bounds(connection& from);
+    void hold(connection& by, std::uint64_t bytes);
     void deliver(connection& from, bool reusable);
     void fail(connection& failed, std::error_code code, std::string detail);
     void retire(connection& retired);
 
     event_base* base_;
     size_limits limits_;
+    std::uint64_t held_bytes_ = 0; // by the unfinished answers
     std::string correlation_header_;
     client_events events_;
     std::unordered_map<std::uint64_t, std::unique_ptr<connection>> open_;
--- a/tests/http/loop.hpp
+++ b/tests/http/loop.hpp
@@ -38,9 +38,12 @@
     raw_socket& operator=(const raw_socket&) = delete;
     ~raw_socket() { close(); }
 
-    void send(const std::string& bytes) const
+    // Returns the number of bytes that the socket accepted.
+    std::size_t send(const std::string& bytes) const
     {
-        ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        const auto sent =
+            ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        return sent > 0 ? static_cast<std::size_t>(sent) : 0;
     }
 
     // Receives all available bytes. The end of the stream, or an error, sets
