platformd: Keep signals pending until their handlers are set

Cause: main set the handlers after the daemon had opened its sockets. The three signals are blocked at the start of main and unblocked once the handlers exist, so that one that arrives in between is handled then.

A signal before main, while the program is loaded, still ends the process; no socket is open by then.

--- a/services/bulrushspring_platformd.cpp
+++ b/services/bulrushspring_platformd.cpp
@@ -59,6 +59,17 @@
     return settings;
 }
 
+// Signals that are handled once the daemon's event loop exists.
+sigset_t handled_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int each : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&signals, each);
+    }
+    return signals;
+}
+
 void handle_stop_signal(evutil_socket_t /*signal*/, short /*what*/,
                         void* argument)
 {
@@ -148,6 +159,8 @@
         add_signal_event(base, SIGINT, handle_stop_signal, &running);
     const auto hang_up =
         add_signal_event(base, SIGHUP, handle_reload_signal, &reload_argument);
+    const auto handled = handled_signals();
+    sigprocmask(SIG_UNBLOCK, &handled, nullptr);
     running.run();
     return 0;
 }
@@ -156,6 +169,10 @@
 
 int main(int argc, char** argv)
 {
+    // The sockets are open before the handlers are set: a signal that arrives
+    // in between stays pending.
+    const auto handled = handled_signals();
+    sigprocmask(SIG_BLOCK, &handled, nullptr);
     absl::SetProgramUsageMessage(
         "The bulrushspring daemon for the users' platform; one runs on each "
         "entry VM.\n"
