--- a/fakes/site/site.hpp
+++ b/fakes/site/site.hpp
@@ -31,6 +31,7 @@
     boot_time stopped_at{}; // the time of the first SIGTERM
     bool overdue = false;   // ran longer after SIGTERM than it may
     bool paused = false;
+    boot_time paused_at{};
     // Failures that callers see before this time may be caused by injected
     // faults and do not count as violations.
     boot_time disturbed_until{};
--- a/fakes/site/soak.cpp
+++ b/fakes/site/soak.cpp
@@ -192,6 +192,18 @@
                       random_duration(milliseconds{300}, milliseconds{1500}));
     }
 
+    // Resumes a paused process. The pause is no part of the time that it has
+    // to stop.
+    void resume(daemon& node)
+    {
+        site.signal(node, SIGCONT);
+        if (node.paused && node.stopping) {
+            node.stopped_at +=
+                clock.now() - std::max(node.stopped_at, node.paused_at);
+        }
+        node.paused = false;
+    }
+
     void pause()
     {
         const auto number = random_index(site.daemons.size());
@@ -203,12 +215,10 @@
             random_duration(milliseconds{300}, milliseconds{3000});
         log_fault("pause " + node.name);
         node.paused = true;
+        node.paused_at = clock.now();
         mark_disturbed(node, span);
         site.signal(node, SIGSTOP);
-        schedule(span, [this, number] {
-            site.signal(site.daemons[number], SIGCONT);
-            site.daemons[number].paused = false;
-        });
+        schedule(span, [this, number] { resume(site.daemons[number]); });
     }
 
     // Each kind but the last sets the share of one fault; the last one makes
@@ -362,7 +372,7 @@
         }
         for (auto& each : site.daemons) {
             each.store_link->set_condition(link_condition::normal);
-            site.signal(each, SIGCONT);
+            resume(each);
         }
         site.platform_store.set_condition(store_condition::normal);
         for (std::size_t i = 0; i < site.daemons.size(); ++i) {
