tests: Leafs that state a limit get more than it allows (LIMIT)

Observability first: a leaf's Server-Limit is read (decimal, non-negative, the lowest of several; one that can't be read counts as present), and E8022 leaf_rate_stated says when a daemon has heard of it. Nothing acts on it yet.

Stand-in and model count as the users' rule does, from 4 s after the first statement, in windows of 4 s.

--- a/fakes/experiment/fleet.hpp
+++ b/fakes/experiment/fleet.hpp
@@ -24,7 +24,9 @@
     std::uint64_t answered_parts = 0; // of the answered queries
     std::uint64_t covered_parts = 0;  // of those
     std::uint64_t leaf_requests = 0;  // that reached a leaf
-    std::vector<duration> latencies;  // of the answers, ascending
+    // The most requests that a leaf got beyond what it may, see limit_window.
+    std::size_t over_limit = 0;
+    std::vector<duration> latencies; // of the answers, ascending
 };
 
 // The records of a store that holds the pattern's route and leafs.
--- a/fakes/experiment/leafs.cpp
+++ b/fakes/experiment/leafs.cpp
@@ -40,9 +40,50 @@
     return duration{static_cast<std::int64_t>(work * (0.5 + 0.5 * rest))};
 }
 
+const leaf_fault* find_limit(const simulation& self, const leaf& each)
+{
+    const auto found =
+        std::find_if(self.plan.faults.begin(), self.plan.faults.end(),
+                     [&](const auto& fault) {
+                         return fault.kind == fault_kind::limited &&
+                                applies(fault, each, self.now - self.start);
+                     });
+    return found == self.plan.faults.end() ? nullptr : &*found;
+}
+
+void check_limit(simulation& self, leaf& each)
+{
+    const auto* limit = find_limit(self, each);
+    if (limit == nullptr || self.now - self.start < limit->from + limit_grace) {
+        each.limited_arrivals.clear();
+        return;
+    }
+    auto& arrivals = each.limited_arrivals;
+    arrivals.push_back(self.now);
+    while (self.now - arrivals.front() > limit_window) {
+        arrivals.pop_front();
+    }
+    const auto allowed = static_cast<std::size_t>(
+        max_limit_factor * limit->factor *
+            std::chrono::duration<double>(limit_window).count() +
+        max_extra_arrivals);
+    if (arrivals.size() > allowed) {
+        self.result.over_limit =
+            std::max(self.result.over_limit, arrivals.size() - allowed);
+    }
+}
+
 void reply(simulation& self, const job& to, unsigned status, bool not_run)
 {
     gateway::leaf_reply answer;
+    const auto& links = self.daemons[to.daemon].links;
+    const auto link = links.find(raw(to.connection));
+    const auto* limit = link == links.end()
+                            ? nullptr
+                            : find_limit(self, self.leafs[link->second.leaf]);
+    if (limit != nullptr) {
+        answer.rate = {true, limit->factor};
+    }
     answer.status = status;
     answer.not_run = not_run;
     answer.signature = not_run ? "" : "seal";
@@ -115,6 +156,7 @@
         disconnect(self, request.daemon, request.connection);
         return;
     }
+    check_limit(self, leaf);
     self.result.leaf_requests += is_counting(self) ? 1 : 0;
     if (leaf.running >= self.plan.slots &&
         leaf.queue.size() >= self.plan.queue) {
--- a/fakes/experiment/pattern.cpp
+++ b/fakes/experiment/pattern.cpp
@@ -75,9 +75,8 @@
 void read_fault(key_reader& reader, pattern& into)
 {
     leaf_fault fault;
-    fault.kind = read_choice(reader, "kind", {"slow", "down"}) == 0
-                     ? fault_kind::slow
-                     : fault_kind::down;
+    fault.kind = static_cast<fault_kind>(
+        read_choice(reader, "kind", {"slow", "down", "limited"}));
     fault.first_shard =
         read_number(reader, "first_shard", {0, shard_range.high}, 0);
     fault.shards = read_number(reader, "shards", shard_range, 1);
--- a/fakes/experiment/pattern.hpp
+++ b/fakes/experiment/pattern.hpp
@@ -16,6 +16,8 @@
 enum class fault_kind : std::uint8_t {
     slow, // the leafs' work takes `factor` times as long
     down, // they refuse connections, and lose the requests that they have
+    // They state that they take `factor` requests a second from all daemons.
+    limited,
 };
 
 // A fault of the first `leafs` leafs of the shards from `first_shard` on.
--- a/fakes/experiment/simulation.hpp
+++ b/fakes/experiment/simulation.hpp
@@ -21,6 +21,13 @@
 // Time in which the daemons learn their fleet and connect.
 inline constexpr seconds preparation{8};
 
+// The users' rule on the limit that a leaf states: after the grace time, it may
+// get this much more in each window.
+inline constexpr seconds limit_grace{4};
+inline constexpr seconds limit_window{4};
+inline constexpr double max_limit_factor = 1.5;
+inline constexpr double max_extra_arrivals = 5;
+
 // A daemon's connection to a leaf.
 struct link {
     std::size_t leaf = 0;
@@ -49,6 +56,9 @@
     std::size_t running = 0;
     std::deque<job> queue;
     std::uint32_t starts = 0; // of its process
+    // Those within the last `limit_window`, while it states a limit for longer
+    // than `limit_grace`.
+    std::deque<boot_time> limited_arrivals;
 };
 
 struct query {
--- a/fakes/site/leaf.cpp
+++ b/fakes/site/leaf.cpp
@@ -14,6 +14,11 @@
 namespace names = platform::names;
 
 constexpr std::size_t records_per_shard = 6;
+// The users' rule on a stated limit.
+constexpr seconds limit_grace{4};
+constexpr seconds limit_window{4};
+constexpr double max_limit_factor = 1.5;
+constexpr double max_extra_arrivals = 5;
 
 } // namespace
 
@@ -91,14 +96,48 @@
 
 void leaf::refuse(caller_token token, unsigned status)
 {
-    server_->respond(token,
-                     {status, "", {{std::string(names::not_run), "1"}}, ""});
+    http::response answer{status, "", {{std::string(names::not_run), "1"}}, ""};
+    state_limit(answer);
+    server_->respond(token, answer);
+}
+
+void leaf::state_limit(http::response& answer) const
+{
+    if (faults.rate_limit > 0) {
+        answer.headers.push_back({std::string(names::rate_limit),
+                                  std::to_string(faults.rate_limit)});
+    }
+}
+
+void leaf::check_limit()
+{
+    const auto now = last_arrival_;
+    if (faults.rate_limit != limit_checked_) {
+        limit_checked_ = faults.rate_limit;
+        limited_since_ = now;
+        limited_arrivals_.clear();
+    }
+    if (faults.rate_limit <= 0 || now - limited_since_ < limit_grace) {
+        return;
+    }
+    limited_arrivals_.push_back(now);
+    while (now - limited_arrivals_.front() > limit_window) {
+        limited_arrivals_.pop_front();
+    }
+    const auto allowed = static_cast<std::size_t>(
+        max_limit_factor * faults.rate_limit *
+            std::chrono::duration<double>(limit_window).count() +
+        max_extra_arrivals);
+    if (limited_arrivals_.size() > allowed) {
+        over_limit_ = std::max(over_limit_, limited_arrivals_.size() - allowed);
+    }
 }
 
 void leaf::handle_request(caller_token token, http::request request)
 {
     ++arrivals_;
     last_arrival_ = system_boot_clock{}.now();
+    check_limit();
     const auto meant = http::header_value(request.headers, names::target_leaf);
     if (!meant.empty() && meant != options_.id) {
         refuse(token, 421);
@@ -160,6 +199,7 @@
     answer.headers = {
         {std::string(names::request_id), id},
         {std::string(names::signature), signature_of(options_.service, id)}};
+    state_limit(answer);
     const bool shard = http::path_of(done.request.target).rfind("/q/", 0) == 0;
     answer.body = shard ? shard_body(options_.service, done.request.target)
                         : single_body(options_.service, done.request);
--- a/fakes/site/leaf.hpp
+++ b/fakes/site/leaf.hpp
@@ -4,6 +4,7 @@
 #include "base/random.hpp"
 #include "libraries/http/server.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <unordered_map>
@@ -35,6 +36,9 @@
     double slow_factor = 1; // multiplies the service time
     // A request for this target ends the leaf's process while it runs.
     std::string poison_target;
+    // The requests a second that it states to take from all daemons together;
+    // 0: no limit.
+    double rate_limit = 0;
 };
 
 // A simulated leaf that serves one service over HTTP.
@@ -48,6 +52,10 @@
     leaf_faults faults;
     std::size_t arrivals() const { return arrivals_; }
     boot_time last_arrival() const { return last_arrival_; }
+    // The most requests beyond the stated limit that have arrived within the
+    // users' window, from their grace time after it was first stated. Up to
+    // half of the limit more and some requests are allowed.
+    std::size_t arrivals_over_limit() const { return over_limit_; }
     std::size_t connections() const
     {
         return server_ ? server_->connections() : 0;
@@ -72,6 +80,9 @@
     void listen();
     void handle_request(caller_token token, http::request request);
     void refuse(caller_token token, unsigned status);
+    // Adds the headers that all answers of the leaf have.
+    void state_limit(http::response& answer) const;
+    void check_limit();
     void start_queued();
     void send_answer(const job& done);
     static void on_work_done(evutil_socket_t socket, short events,
@@ -89,6 +100,10 @@
     std::vector<std::unique_ptr<job>> queued_;
     std::size_t arrivals_ = 0;
     boot_time last_arrival_{};
+    boot_time limited_since_{};
+    double limit_checked_ = 0; // the limit that limited_since_ belongs to
+    std::deque<boot_time> limited_arrivals_;
+    std::size_t over_limit_ = 0;
 };
 
 // The signature and bodies of correct answers. Leafs send them and callers
--- a/libraries/gateway/event.hpp
+++ b/libraries/gateway/event.hpp
@@ -5,6 +5,7 @@
 #include "libraries/topology/topology.hpp"
 
 #include <memory>
+#include <optional>
 #include <variant>
 
 namespace bulrushspring::gateway
@@ -24,6 +25,13 @@
 
 using request_pointer = std::shared_ptr<const forward_request>;
 
+// What an answer states of the requests a second that its leaf takes from all
+// daemons together.
+struct rate_statement {
+    bool present = false;             // there is a limit, readable or not
+    std::optional<double> per_second; // not negative; none if not readable
+};
+
 // A leaf's complete answer.
 struct leaf_reply {
     unsigned status = 0;
@@ -35,6 +43,7 @@
     bool leaving = false;     // the leaf states that it is leaving
     duration idle_timeout{0}; // of the connection at the leaf; 0: not given
     duration retry_after{0};  // the leaf wants no request before; 0: not given
+    rate_statement rate;
 };
 
 // A caller has sent a request.
--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -103,6 +103,13 @@
     "A request has crashed this many leafs one after the other, `leaf` the "
     "last. It is not sent to leafs any more and is refused when it comes "
     "again."};
+inline constexpr event_definition leaf_rate_stated{
+    8022, severity::warning, "leaf_rate_stated",
+    "leaf service per_second part readable",
+    "A leaf has begun to state how many requests a second it takes from all "
+    "daemons together, or states another number. per_second=-1: it states "
+    "none any more. `part` is what this daemon may send it. With readable=0 "
+    "its last statement was not a number, and the earlier one still holds."};
 
 inline constexpr std::array all_events = {
     &gateway_started,  &table_in_force,      &stop_begun,
@@ -112,6 +119,7 @@
     &sending_given_up, &leaf_unreachable,    &input_refused,
     &load_changed,     &leaf_states_leaving, &leaf_paused,
     &part_unavailable, &leaf_crash_checked,  &request_poisonous,
+    &leaf_rate_stated,
 };
 
 } // namespace bulrushspring::gateway
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -393,7 +393,8 @@
     const attempt ended = remove_attempt(step, id);
     update_leaf_statistics(step, ended, event.reply);
     apply_answer(step, ended, event.reply);
-    apply_leaf_state(step.pool, event.connection, event.reply, step.context);
+    apply_leaf_state(step.pool, event.connection, event.reply, ended.sent_at,
+                     step.context);
     if (event.reusable) {
         release(step.pool, event.connection, event.reply, step.context);
     } else {
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -71,6 +71,40 @@
                : std::span<const std::string>{found->second};
 }
 
+void log_rate(const leaf_state& leaf, bool readable, context& context)
+{
+    const double limit = leaf.rate_limit.value_or(-1.0);
+    context.log(make_record(leaf_rate_stated, field("leaf", leaf.published.id),
+                            field("service", leaf.published.service),
+                            field("per_second", limit), field("part", limit),
+                            field("readable", readable ? 1 : 0)));
+}
+
+// Adopts a limit that a leaf states, or its end, and logs a change.
+void set_rate_limit(leaf_state& leaf, std::optional<double> limit,
+                    context& context)
+{
+    leaf.rate_stated_at = context.now;
+    if (leaf.rate_limit != limit) {
+        leaf.rate_limit = limit;
+        log_rate(leaf, true, context);
+    }
+}
+
+void apply_rate_statement(leaf_state& leaf, const leaf_reply& reply,
+                          boot_time sent_at, context& context)
+{
+    if (reply.rate.per_second) {
+        set_rate_limit(leaf, reply.rate.per_second, context);
+    } else if (reply.rate.present) {
+        log_rate(leaf, false, context);
+    } else if (leaf.rate_limit && !reply.signature.empty() &&
+               sent_at > leaf.rate_stated_at) {
+        // Earlier requests may be answered out of order.
+        set_rate_limit(leaf, std::nullopt, context);
+    }
+}
+
 bool can_take_request(const leaf_pool& pool, const leaf_state& leaf,
                       boot_time now)
 {
@@ -286,7 +320,8 @@
 }
 
 void apply_leaf_state(leaf_pool& pool, connection_id id,
-                      const leaf_reply& reply, context& context)
+                      const leaf_reply& reply, boot_time sent_at,
+                      context& context)
 {
     const auto& connection = pool.connections.at(raw(id));
     auto& leaf = pool.leafs.at(connection.leaf);
@@ -308,6 +343,7 @@
                         field("service", leaf.published.service),
                         field("for_ms", to_milliseconds(reply.retry_after))));
     }
+    apply_rate_statement(leaf, reply, sent_at, context);
 }
 
 boot_time available_at(const leaf_pool& pool, const std::string& service,
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -97,6 +97,10 @@
     bool leaving = false;
     // It has stated with a refusal that it wants no request before this time.
     boot_time paused_until{};
+    // The requests a second that it takes from all daemons together, as it has
+    // stated last, and the time of that statement.
+    std::optional<double> rate_limit;
+    boot_time rate_stated_at{};
     // Moving average of observed over expected latency; 1 is as expected.
     double latency_ratio = 1.0;
     boot_time sampled_at{};
@@ -189,10 +193,12 @@
 // Whether the leaf may be sent a request now, as far as it has stated.
 bool accepts_requests(const leaf_state&, boot_time now);
 
-// Adopts what an answer on the connection states about its leaf: that it is
-// leaving, or wants no request for a time. A leaf that is leaving is not used
-// again before it is published with a new incarnation.
-void apply_leaf_state(leaf_pool&, connection_id, const leaf_reply&, context&);
+// Adopts what the answer to an attempt sent at `sent_at` states about its leaf:
+// that it is leaving, wants no request for a time, or takes only so many a
+// second. A leaf that is leaving is not used again before it is published with
+// a new incarnation.
+void apply_leaf_state(leaf_pool&, connection_id, const leaf_reply&,
+                      boot_time sent_at, context&);
 
 // The earliest time at which a leaf of the service may be sent a request:
 // `now` if one accepts requests, although it may be busy; the end of the
--- a/tests/experiment/experiment_test.cpp
+++ b/tests/experiment/experiment_test.cpp
@@ -71,6 +71,22 @@
     }
 }
 
+// LIMIT: each daemon sent a leaf as much as if it were the only one, although
+// the leaf had stated what it takes from all of them.
+BOOST_AUTO_TEST_CASE(daemons_together_keep_to_the_limits_that_leafs_state)
+{
+    for (const char* name : {"limited-leafs", "limited-shard"}) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            const auto sum = play(example(name), seed);
+            BOOST_TEST(sum.over_limit == 0U,
+                       name << ", seed " << seed << ": " << sum.over_limit
+                            << " requests more than allowed");
+            BOOST_TEST(static_cast<double>(sum.in_time) >=
+                       0.95 * static_cast<double>(sum.asked));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_saved_report_can_be_compared)
 {
     const std::vector<run_result> runs = {play(example("shard-down"), 1),
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -146,3 +146,39 @@
         BOOST_TEST((read_refusal({text}).retry_after == duration{0}), text);
     }
 }
+
+namespace
+{
+
+gateway::rate_statement read_rate(std::vector<std::string> values)
+{
+    http::response message;
+    message.status = 200;
+    for (auto& each : values) {
+        message.headers.push_back({"server-limit", std::move(each)});
+    }
+    return protocol.read_reply(message).rate;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_rate_limit_of_a_leaf_is_read_as_requests_a_second)
+{
+    BOOST_TEST(!read_rate({}).present);
+    BOOST_TEST(read_rate({"32.5"}).per_second.value() == 32.5);
+    BOOST_TEST(read_rate({"0"}).per_second.value() == 0.0);
+    BOOST_TEST(read_rate({"8", "5", "7"}).per_second.value() == 5.0);
+    BOOST_TEST(read_rate({"nan", "5"}).per_second.value() == 5.0);
+}
+
+// A limit that can't be read is still one: the leaf does not say that it has
+// ended.
+BOOST_AUTO_TEST_CASE(an_unreadable_rate_limit_is_reported_as_present)
+{
+    for (const auto* text :
+         {"", "-1", "1e300", "nan", "inf", "many", "5 a second", "0x10"}) {
+        const auto stated = read_rate({text});
+        BOOST_TEST(stated.present, text);
+        BOOST_TEST(!stated.per_second.has_value(), text);
+    }
+}
