gateway: Divide the rates that leafs state between the daemons (LIMIT)

Cause: a leaf's Server-Limit holds for all daemons together, and nothing divided it. Daemons share no state, so each computes its own part from the membership: while the limit allows each serving daemon a request a second, all have equal parts; below that, as many daemons as the limit has requests a second hold it, chosen by rendezvous hash of daemon and leaf. A tenth is reserved for the others, at random times that lapse unused, so that hundreds of daemons never save up a request each.

Why this works: whatever the callers' spread, the holders' tokens of 4 s and their bursts (one request, or a tenth of a second) are at most 5 times the limit, below the 6 times and 5 that are allowed. Every transmission takes a token in one place, so hedges, retries and parts that were held back count; a connection that is established after the tokens were used moves its attempt. The counts of daemons fall with a half-life of a minute, so parts of a fleet that don't hear each other don't double the rate, and a daemon that doesn't know its fleet yet takes none.

A part that can't get a token within the objective, counting those that wait before it, is known at once: the query goes on without it, or the request is refused as not run with the time that the limit gives.

--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -171,14 +171,14 @@
                   budget, step.state.settings.budget, step.context.now)))));
 }
 
-// Whether no leaf of the part's service accepts requests before the exchange
-// has to be answered.
+// Whether no leaf of the part's service accepts requests before `latest`.
+// `available` is when one does.
 bool is_unavailable(exchange_step& step, exchange& exchange,
-                    const request_part& part)
+                    const request_part& part, boot_time available,
+                    boot_time latest)
 {
     const auto now = step.context.now;
-    const auto available = available_at(step.pool, part.service, now);
-    if (available <= exchange.answer_by) {
+    if (available <= latest) {
         return false;
     }
     exchange.unavailable_until =
@@ -192,6 +192,35 @@
     return true;
 }
 
+// The parts of this service that wait for a leaf.
+std::size_t count_waiting(const exchange_step& step, const std::string& service)
+{
+    std::size_t waiting = 0;
+    for (const auto& [token, exchange] : step.state.exchanges) {
+        waiting += static_cast<std::size_t>(std::count_if(
+            exchange.parts.begin(), exchange.parts.end(),
+            [&](const auto& each) {
+                return each.phase == part_phase::open &&
+                       each.outstanding.empty() && each.service == service;
+            }));
+    }
+    return waiting;
+}
+
+// When the stated rates of the service's leafs allow this new part, after those
+// that wait already.
+boot_time rate_available_at(const exchange_step& step, const request_part& part)
+{
+    const auto now = step.context.now;
+    const auto first =
+        gateway::rate_available_at(step.pool, part.service, 0, now);
+    if (first <= now) {
+        return now;
+    }
+    const auto ahead = count_waiting(step, part.service) - 1; // without itself
+    return gateway::rate_available_at(step.pool, part.service, ahead, now);
+}
+
 // Schedules a retry, or fails the part if no leaf can take it any more.
 void retry_later_or_fail(exchange_step& step, exchange& exchange,
                          request_part& part)
@@ -200,7 +229,9 @@
         part.tried.begin(), part.tried.end(),
         [&](const auto& each) { return may_retry_at(exchange, part, each); });
     if ((leaf_limit_reached(exchange, part) && !repeatable) ||
-        is_unavailable(step, exchange, part)) {
+        is_unavailable(step, exchange, part,
+                       available_at(step.pool, part.service, step.context.now),
+                       exchange.answer_by)) {
         fail_part(exchange, part);
         return;
     }
@@ -336,6 +367,9 @@
     ++part.attempts;
     ++exchange.attempts;
     step.context.count(metrics::counter::leaf_requests);
+    if (auto* leaf = find_leaf(step.pool, started.leaf)) {
+        count_request(step.pool, *leaf, now);
+    }
     const auto until = attempt_deadline(exchange, now);
     started.deadline_shortened = until < exchange.answer_by;
     step.context.emit(send_to_leaf{started.connection, exchange.request,
@@ -376,9 +410,17 @@
 
 void fail_unavailable_parts(exchange_step& step, exchange& exchange)
 {
+    const auto in_time =
+        std::min(exchange.objective_deadline, exchange.answer_by);
     for (auto& part : exchange.parts) {
-        if (part.phase == part_phase::open &&
-            is_unavailable(step, exchange, part)) {
+        if (part.phase != part_phase::open) {
+            continue;
+        }
+        const auto leaf =
+            available_at(step.pool, part.service, step.context.now);
+        const auto rate = rate_available_at(step, part);
+        if (is_unavailable(step, exchange, part, leaf, exchange.answer_by) ||
+            is_unavailable(step, exchange, part, rate, in_time)) {
             fail_part(exchange, part);
         }
     }
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -371,6 +371,7 @@
     auto& exchange = step.state.exchanges.at(raw(attempt.exchange));
     auto& part = exchange.parts[attempt.part];
     if (!accepts_requests(leaf, step.context.now) ||
+        !rate_admits(leaf, step.context.now) ||
         !may_transmit(step, exchange, attempt)) {
         cancel_unsent(step, part, *connection.attempt);
         part.next_action_at = step.context.now;
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -121,6 +121,10 @@
         now - self.serving.reviewed_at >=
             self.settings.serving.review_interval) {
         update_serving_set(self, now);
+        update_rate_parts(
+            self.pool, self.serving.members,
+            membership::view_of(self.members).members.size(),
+            self.pool.fleet.known && !self.pool.fleet.recently_started, now);
     }
 }
 
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -3,6 +3,7 @@
 
 #include "base/random.hpp"
 #include "libraries/gateway/effect.hpp"
+#include "libraries/gateway/rate_share.hpp"
 #include "libraries/limits/concurrency_limit.hpp"
 
 #include <map>
@@ -76,6 +77,9 @@
     // An answer that took this many times the expected latency indicates
     // queueing at the leaf.
     double queueing_latency_ratio = 3.0;
+    // A leaf that states a lower limit is sent this many requests a second by
+    // all daemons, to learn whether it still holds.
+    double min_rate_limit = 0.1;
     // Cost added, as a factor, for a leaf that refuses every request.
     double refusal_weight = 12.0;
 };
@@ -101,6 +105,7 @@
     // stated last, and the time of that statement.
     std::optional<double> rate_limit;
     boot_time rate_stated_at{};
+    rate_gate rate; // this daemon's part, while there is a limit
     // Moving average of observed over expected latency; 1 is as expected.
     double latency_ratio = 1.0;
     boot_time sampled_at{};
@@ -166,6 +171,7 @@
     routing::table_pointer table;
     std::uint32_t opening = 0; // connections being opened
     fleet_summary fleet;
+    rate_sharers sharers;
     boot_time maintain_at{};
 };
 
@@ -200,6 +206,22 @@
 void apply_leaf_state(leaf_pool&, connection_id, const leaf_reply&,
                       boot_time sent_at, context&);
 
+// Whether the leaf's stated rate allows a request of this daemon now.
+bool rate_admits(const leaf_state&, boot_time now);
+
+// Counts a request that is sent to a leaf against its stated rate.
+void count_request(leaf_pool&, leaf_state&, boot_time now);
+
+// When the stated rates of the service's leafs allow a request of this daemon
+// for which `ahead` others wait already: `now` if one of them has stated none;
+// boot_time::max() if no time is known.
+boot_time rate_available_at(const leaf_pool&, const std::string& service,
+                            std::size_t ahead, boot_time now);
+
+// Adopts the present members, which divide the rates that leafs have stated.
+void update_rate_parts(leaf_pool&, std::span<const wire::member_record> serving,
+                       std::size_t fleet_size, bool known, boot_time now);
+
 // The earliest time at which a leaf of the service may be sent a request:
 // `now` if one accepts requests, although it may be busy; the end of the
 // backoff for a leaf without a connection; boot_time::max() if there is no
--- a/libraries/gateway/query_admission.cpp
+++ b/libraries/gateway/query_admission.cpp
@@ -41,9 +41,16 @@
     const bool refused = step.context.now >= exchange.started_at + limit;
     for (auto& part : exchange.parts) {
         part.next_action_at = step.context.now + settings.retry_delay;
-        if (refused && part.phase == part_phase::open) {
-            fail_part(exchange, part);
+        if (!refused || part.phase != part_phase::open) {
+            continue;
         }
+        const auto rate =
+            rate_available_at(step.pool, part.service, 0, step.context.now);
+        if (rate > step.context.now) {
+            exchange.unavailable_until =
+                std::max(exchange.unavailable_until, rate);
+        }
+        fail_part(exchange, part);
     }
     return false;
 }
--- a/libraries/membership/token_bucket.hpp
+++ b/libraries/membership/token_bucket.hpp
@@ -22,13 +22,19 @@
     return {per_second, capacity, capacity, now};
 }
 
+// The tokens available, with those earned since the bucket was refilled.
+inline double available(const token_bucket& bucket, boot_time now)
+{
+    const std::chrono::duration<double> elapsed = now - bucket.filled_at;
+    return std::min(bucket.capacity,
+                    bucket.tokens + elapsed.count() * bucket.per_second);
+}
+
 // Adds the tokens earned since the last call and returns the tokens available.
 inline double refill(token_bucket& bucket, boot_time now)
 {
-    const std::chrono::duration<double> elapsed = now - bucket.filled_at;
+    bucket.tokens = available(bucket, now);
     bucket.filled_at = now;
-    bucket.tokens = std::min(
-        bucket.capacity, bucket.tokens + elapsed.count() * bucket.per_second);
     return bucket.tokens;
 }
 
