--- a/fakes/experiment/fleet.cpp
+++ b/fakes/experiment/fleet.cpp
@@ -64,6 +64,8 @@
     const duration took = self.now - asked.sent_at + 2 * network_latency;
     const auto& answer = answered.answer;
     if (answer.kind == gateway::answer_kind::merged) {
+        result.served_at_cut += asked.during_cut && asked.at_cut ? 1 : 0;
+        result.served_at_others += asked.during_cut && !asked.at_cut ? 1 : 0;
         result.in_time += took <= self.plan.objective ? 1 : 0;
         result.late += took <= self.plan.objective ? 0 : 1;
         result.answered_parts += self.plan.shards;
@@ -91,6 +93,14 @@
     after(self, delay, [&self, daemon, answer] { feed(self, daemon, answer); });
 }
 
+void perform(simulation& self, std::size_t /*daemon*/,
+             const gateway::answer_entries& answered)
+{
+    const auto found = self.directory_calls.find(raw(answered.token));
+    self.groups[found->second].entries = answered.entries;
+    self.directory_calls.erase(found);
+}
+
 // The other effects have no counterpart in the model.
 template <typename Effect>
 void perform(simulation& /*self*/, std::size_t /*daemon*/,
@@ -195,7 +205,59 @@
     }
 }
 
-// Sends the next query, to a random daemon, and schedules the one after it.
+constexpr seconds entries_ttl{1};
+// Some callers keep the directory's answers three times as long.
+constexpr int max_ttl_multiple = 3;
+
+void make_groups(simulation& self)
+{
+    self.groups.push_back({entries_ttl, self.now, {}});
+    self.groups.push_back({max_ttl_multiple * entries_ttl, self.now, {}});
+    self.groups.push_back(
+        {max_ttl_multiple * entries_ttl, self.now + entries_ttl, {}});
+}
+
+// The daemon that a caller uses.
+std::size_t choose_daemon(simulation& self)
+{
+    const auto any = static_cast<std::size_t>(
+        random_below(self.random, self.daemons.size()));
+    if (!self.plan.directory) {
+        return any;
+    }
+    const auto number =
+        static_cast<std::size_t>(random_below(self.random, self.groups.size()));
+    auto& group = self.groups[number];
+    if (self.now >= group.asks_at) {
+        group.asks_at = self.now + group.ttl;
+        const auto token = ++self.last_query;
+        self.directory_calls[token] = number;
+        feed(self, any,
+             gateway::entries_requested{caller_token{token}, "dc-1"});
+    }
+    if (group.entries.empty()) {
+        return any;
+    }
+    return group.entries[random_below(self.random, group.entries.size())].port -
+           first_port;
+}
+
+// Counts a query that is sent during a cut.
+void count_during_cut(simulation& self, std::size_t daemon, query& asked)
+{
+    const auto at = self.now - self.start;
+    asked.during_cut = std::any_of(
+        self.plan.cuts.begin(), self.plan.cuts.end(), [&](const auto& cut) {
+            return at >= cut.from + cut_grace && at < cut.from + cut.span;
+        });
+    asked.at_cut = find_cut(self, daemon) != nullptr;
+    if (asked.during_cut) {
+        ++(asked.at_cut ? self.result.asked_at_cut
+                        : self.result.asked_at_others);
+    }
+}
+
+// Sends the next query and schedules the one after it.
 void send_queries(simulation& self)
 {
     const duration elapsed = self.now - self.start;
@@ -216,8 +278,8 @@
         self.result.parts += self.plan.shards;
         asked.counted = true;
     }
-    const auto to = static_cast<std::size_t>(
-        random_below(self.random, self.daemons.size()));
+    const auto to = choose_daemon(self);
+    count_during_cut(self, to, self.queries[token]);
     feed(self, to, gateway::forward_requested{caller_token{token}, request});
     const double pause = -std::log(1.0 - random_fraction(self.random)) /
                          self.plan.queries_per_second;
@@ -273,6 +335,7 @@
     self.records = records_of(plan);
     make_leafs(self);
     make_daemons(self);
+    make_groups(self);
     schedule_faults(self);
     for (std::size_t i = 0; i < self.daemons.size(); ++i) {
         feed(self, i, tick{});
--- a/fakes/experiment/leafs.cpp
+++ b/fakes/experiment/leafs.cpp
@@ -73,6 +73,13 @@
     }
 }
 
+// Whether packets between the daemon and the leafs are lost.
+bool is_silenced(const simulation& self, std::size_t daemon)
+{
+    const auto* cut = find_cut(self, daemon);
+    return cut != nullptr && cut->kind == cut_kind::silent;
+}
+
 void reply(simulation& self, const job& to, unsigned status, bool not_run)
 {
     gateway::leaf_reply answer;
@@ -89,7 +96,8 @@
     answer.signature = not_run ? "" : "seal";
     answer.body = status == 200 ? std::string(16, 'x') : "";
     after(self, network_latency, [&self, to, answer] {
-        if (self.daemons[to.daemon].links.count(raw(to.connection)) > 0) {
+        if (!is_silenced(self, to.daemon) &&
+            self.daemons[to.daemon].links.count(raw(to.connection)) > 0) {
             feed(self, to.daemon,
                  gateway::leaf_replied{to.connection, answer, true});
         }
@@ -123,7 +131,20 @@
     }
 }
 
-// The leaf ends a connection, or does not accept it.
+} // namespace
+
+const daemon_cut* find_cut(const simulation& self, std::size_t daemon)
+{
+    const auto at = self.now - self.start;
+    const auto found = std::find_if(
+        self.plan.cuts.begin(), self.plan.cuts.end(), [&](const auto& cut) {
+            return daemon >= cut.first_daemon &&
+                   daemon < cut.first_daemon + cut.daemons && at >= cut.from &&
+                   at < cut.from + cut.span;
+        });
+    return found == self.plan.cuts.end() ? nullptr : &*found;
+}
+
 void disconnect(simulation& self, std::size_t daemon, connection_id connection)
 {
     after(self, network_latency, [&self, daemon, connection] {
@@ -133,8 +154,6 @@
     });
 }
 
-} // namespace
-
 bool remove_link(simulation& self, std::size_t daemon, connection_id connection)
 {
     auto& links = self.daemons[daemon].links;
@@ -152,6 +171,9 @@
 {
     constexpr unsigned unavailable = 503;
     auto& leaf = self.leafs[index];
+    if (is_silenced(self, request.daemon)) {
+        return;
+    }
     if (is_down(self, leaf)) {
         disconnect(self, request.daemon, request.connection);
         return;
@@ -174,8 +196,12 @@
     if (found == links.end()) {
         return;
     }
+    if (is_silenced(self, daemon)) {
+        return;
+    }
     auto& leaf = self.leafs[found->second.leaf];
-    if (is_down(self, leaf) || leaf.connections >= self.plan.connections) {
+    if (find_cut(self, daemon) != nullptr || is_down(self, leaf) ||
+        leaf.connections >= self.plan.connections) {
         disconnect(self, daemon, connection);
         return;
     }
@@ -190,6 +216,19 @@
 
 void schedule_faults(simulation& self)
 {
+    for (const auto& cut : self.plan.cuts) {
+        if (cut.kind != cut_kind::reset) {
+            continue;
+        }
+        after(self, preparation + cut.from, [&self, cut] {
+            for (std::size_t i = 0; i < cut.daemons; ++i) {
+                const auto daemon = cut.first_daemon + i;
+                for (const auto& [id, to] : self.daemons[daemon].links) {
+                    disconnect(self, daemon, connection_id{id});
+                }
+            }
+        });
+    }
     for (const auto& fault : self.plan.faults) {
         if (fault.kind != fault_kind::down) {
             continue;
--- a/fakes/experiment/pattern.cpp
+++ b/fakes/experiment/pattern.cpp
@@ -69,7 +69,9 @@
         read_number(reader, "queries_per_second", rate_range));
     into.warm_up = read_seconds(reader, "warm_up_s");
     into.span = read_seconds(reader, "span_s");
-    refuse_unknown_keys(reader, {"queries_per_second", "warm_up_s", "span_s"});
+    into.directory = read_number(reader, "directory", {0, 1}, 0) == 1;
+    refuse_unknown_keys(
+        reader, {"queries_per_second", "warm_up_s", "span_s", "directory"});
 }
 
 void read_fault(key_reader& reader, pattern& into)
@@ -90,6 +92,21 @@
     into.faults.push_back(fault);
 }
 
+void read_cut(key_reader& reader, pattern& into)
+{
+    daemon_cut cut;
+    cut.kind = static_cast<cut_kind>(
+        read_choice(reader, "kind", {"silent", "reset", "refuse_new"}));
+    cut.first_daemon =
+        read_number(reader, "first_daemon", {0, daemon_range.high}, 0);
+    cut.daemons = read_number(reader, "daemons", daemon_range, 1);
+    cut.from = read_seconds(reader, "from_s");
+    cut.span = read_seconds(reader, "for_s");
+    refuse_unknown_keys(reader,
+                        {"kind", "first_daemon", "daemons", "from_s", "for_s"});
+    into.cuts.push_back(cut);
+}
+
 // Faults must be of shards and leafs that the fleet has.
 void check_faults(const pattern& parsed, validation_errors& found)
 {
@@ -126,9 +143,12 @@
             read_load(reader, parsed);
         } else if (manifest::split_header(header).kind == "fault") {
             read_fault(reader, parsed);
+        } else if (manifest::split_header(header).kind == "cut") {
+            read_cut(reader, parsed);
         } else {
             add_error(reader, errc::unknown_key, "",
-                      "one of fleet, route, load, fault NAME", header);
+                      "one of fleet, route, load, fault NAME, cut NAME",
+                      header);
         }
     }
     check_faults(parsed, found);
--- a/fakes/experiment/pattern.hpp
+++ b/fakes/experiment/pattern.hpp
@@ -31,6 +31,21 @@
     duration span{0};
 };
 
+enum class cut_kind : std::uint8_t {
+    silent,     // nothing passes, connects hang
+    reset,      // connections are reset, connects refused
+    refuse_new, // open connections live on, connects are refused
+};
+
+// Some daemons lose their paths to all leafs.
+struct daemon_cut {
+    cut_kind kind = cut_kind::silent;
+    std::size_t first_daemon = 0;
+    std::size_t daemons = 1;
+    duration from{0}; // since the start of the pattern
+    duration span{0};
+};
+
 // Everything that determines a run, except for its random seed.
 struct pattern {
     std::size_t daemons = 1;
@@ -50,7 +65,11 @@
     double queries_per_second = 0.0;
     duration warm_up{0}; // before the queries that the results count
     duration span{0};    // in which those are sent
+    // Whether callers use the daemons that the directory names, which a third
+    // of them asks each second and the others each three; else any daemon.
+    bool directory = false;
     std::vector<leaf_fault> faults;
+    std::vector<daemon_cut> cuts;
 };
 
 // Parses the content of a pattern file. On failure returns all errors.
--- a/fakes/experiment/simulation.hpp
+++ b/fakes/experiment/simulation.hpp
@@ -27,6 +27,8 @@
 inline constexpr seconds limit_window{4};
 inline constexpr double max_limit_factor = 1.5;
 inline constexpr double max_extra_arrivals = 5;
+// After this time, callers of a daemon that is cut off have to be served.
+inline constexpr seconds cut_grace{4};
 
 // A daemon's connection to a leaf.
 struct link {
@@ -64,6 +66,17 @@
 struct query {
     boot_time sent_at{};
     bool counted = false; // in the result
+    // Sent while a cut has lasted for the users' grace time, to a daemon that
+    // is cut off or to another.
+    bool during_cut = false;
+    bool at_cut = false;
+};
+
+// Callers that ask the directory at the same times.
+struct caller_group {
+    duration ttl{0};
+    boot_time asks_at{};
+    std::vector<endpoint> entries;
 };
 
 struct timed_action {
@@ -90,6 +103,9 @@
     std::vector<daemon> daemons;
     std::vector<leaf> leafs;
     std::map<std::uint64_t, query> queries; // in progress, by token
+    std::vector<caller_group> groups;
+    // Groups that await the directory's answer, by token.
+    std::map<std::uint64_t, std::size_t> directory_calls;
     topology::records_learned records;
     run_result result;
 };
@@ -109,10 +125,17 @@
 // A leaf gets a connection that a daemon opens, and accepts it or not.
 void accept(simulation&, std::size_t daemon, connection_id);
 
+// The cut that holds for the daemon now; null if there is none.
+const daemon_cut* find_cut(const simulation&, std::size_t daemon);
+
+// A leaf ends a connection, or does not accept it.
+void disconnect(simulation&, std::size_t daemon, connection_id);
+
 // Removes a connection. Returns false if it has ended already.
 bool remove_link(simulation&, std::size_t daemon, connection_id);
 
-// Ends the connections and the work of leafs when they go down.
+// Ends the connections and the work of leafs when they go down, and the
+// connections of daemons whose paths are reset.
 void schedule_faults(simulation&);
 
 } // namespace bulrushspring::experiment
