--- a/fakes/experiment/fleet.cpp
+++ b/fakes/experiment/fleet.cpp
@@ -116,15 +116,43 @@
     });
 }
 
+// Only questions about the contact with leafs are answered: they carry no
+// records in the platform's encoding.
 void perform(simulation& self, std::size_t daemon,
              const send_peer_request& sent)
 {
+    if (std::holds_alternative<wire::leaf_contact_request>(sent.request)) {
+        const std::size_t to = sent.peer.port - first_port;
+        const auto token = ++self.last_query;
+        self.peer_calls[token] = {daemon, sent.exchange};
+        after(self, network_latency, [&self, daemon, to, token, sent] {
+            feed(self, to,
+                 peer_request_received{peer_token{token}, peer_address(daemon),
+                                       sent.request});
+        });
+        return;
+    }
     after(self, network_latency, [&self, daemon, id = sent.exchange] {
         const error refused{errc::closed, "connect", "peer", "not modelled"};
         feed(self, daemon, peer_reply_received{id, refused});
     });
 }
 
+void perform(simulation& self, std::size_t /*daemon*/,
+             const reply_to_peer& replied)
+{
+    const auto found = self.peer_calls.find(raw(replied.token));
+    if (found == self.peer_calls.end()) {
+        return;
+    }
+    const auto [daemon, exchange] = found->second;
+    self.peer_calls.erase(found);
+    after(self, network_latency,
+          [&self, daemon = daemon, exchange = exchange, replied] {
+              feed(self, daemon, peer_reply_received{exchange, replied.reply});
+          });
+}
+
 void schedule_tick(simulation& self, std::size_t index)
 {
     auto& daemon = self.daemons[index];
--- a/fakes/experiment/simulation.hpp
+++ b/fakes/experiment/simulation.hpp
@@ -103,6 +103,8 @@
     std::vector<daemon> daemons;
     std::vector<leaf> leafs;
     std::map<std::uint64_t, query> queries; // in progress, by token
+    // Questions between daemons: who asked, and how it identifies them.
+    std::map<std::uint64_t, std::pair<std::size_t, exchange_id>> peer_calls;
     std::vector<caller_group> groups;
     // Groups that await the directory's answer, by token.
     std::map<std::uint64_t, std::size_t> directory_calls;
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -300,6 +300,24 @@
     }
 }
 
+template <typename Predicate>
+void finish_if(exchange_step& step, const Predicate& ends)
+{
+    std::vector<std::uint64_t> tokens;
+    for (const auto& [token, exchange] : step.state.exchanges) {
+        if (ends(exchange)) {
+            tokens.push_back(token);
+        }
+    }
+    for (const auto token : tokens) {
+        auto& exchange = step.state.exchanges.at(token);
+        finish(step, exchange,
+               reaches_minimum_coverage(exchange)
+                   ? covered_answer(exchange)
+                   : empty_answer(step, exchange));
+    }
+}
+
 } // namespace
 
 void begin(exchange_step& step, caller_token token,
@@ -460,19 +478,21 @@
     return self.timers.empty() ? next : std::min(next, self.timers.top().at);
 }
 
+void finish_repeatable(exchange_step& step)
+{
+    finish_if(step, [&](const exchange& each) {
+        return each.route->idempotent ||
+               (!each.may_have_run &&
+                std::none_of(each.parts.begin(), each.parts.end(),
+                             [&](const auto& part) {
+                                 return awaits_answer(step, part);
+                             }));
+    });
+}
+
 void finish_all(exchange_step& step)
 {
-    std::vector<std::uint64_t> tokens;
-    for (const auto& [token, exchange] : step.state.exchanges) {
-        tokens.push_back(token);
-    }
-    for (const auto token : tokens) {
-        auto& exchange = step.state.exchanges.at(token);
-        finish(step, exchange,
-               reaches_minimum_coverage(exchange)
-                   ? covered_answer(exchange)
-                   : empty_answer(step, exchange));
-    }
+    finish_if(step, [](const exchange&) { return true; });
 }
 
 } // namespace bulrushspring::gateway
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -220,6 +220,10 @@
 // daemon's report has been merged.
 void finish_poison(exchange_step&);
 
+// Finishes the exchanges whose requests their callers can send to another
+// daemon: the idempotent ones, and those that were not sent to a leaf.
+void finish_repeatable(exchange_step&);
+
 // Finishes all exchanges with a final answer, before the process stops.
 void finish_all(exchange_step&);
 
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -105,6 +105,10 @@
                    : member.status != wire::member_status::alive &&
                          !self.members.isolated;
     });
+    const auto is_cut_off = [](const auto& member) { return member.cut_off; };
+    if (!std::all_of(live.begin(), live.end(), is_cut_off)) {
+        std::erase_if(live, is_cut_off);
+    }
     return live;
 }
 
@@ -221,6 +225,18 @@
     context.emit(answer_request{event.token, std::move(answer)});
 }
 
+// Announces that this daemon has lost its path to the leafs, or has it again.
+// Callers can send what is in progress to another daemon.
+void apply_reach(state& self, context& context)
+{
+    membership::set_cut_off(self.members, self.reach.cut_off, context.now);
+    update_serving_set(self, context.now);
+    if (self.reach.cut_off) {
+        auto exchanges = make_step(self, context);
+        finish_repeatable(exchanges);
+    }
+}
+
 void step(state& self, const tick& event, context& context)
 {
     membership::reduce(self.members, event, context.shared);
@@ -235,6 +251,10 @@
     activate_table_if_prepared(self, context);
     auto exchanges = make_step(self, context);
     run_due_timers(exchanges);
+    if (review_reach(self.reach, exchanges,
+                     membership::view_of(self.members).members)) {
+        apply_reach(self, context);
+    }
 }
 
 void step(state& self, const forward_requested& event, context& context)
@@ -252,6 +272,11 @@
                context);
         return;
     }
+    if (is_out_of_reach(self.reach)) {
+        refuse(event, answer_kind::not_run, retry_after, "cut_off",
+               table->version, context);
+        return;
+    }
     const auto* route = routing::find_route(
         *table, event.request->host, http::path_of(event.request->target));
     if (route == nullptr) {
@@ -293,6 +318,7 @@
 
 void step(state& self, const leaf_replied& event, context& context)
 {
+    note_answer(self.reach, context.now);
     pass_to_exchanges(self, event, context);
 }
 
@@ -366,6 +392,10 @@
     if (std::holds_alternative<wire::crash_reports_request>(event.request)) {
         poison::reply_to_request(self.spread, self.exchanges.poison,
                                  event.token, context.shared);
+    } else if (std::holds_alternative<wire::leaf_contact_request>(
+                   event.request)) {
+        auto exchanges = make_step(self, context);
+        reply_to_question(self.reach, exchanges, event.token);
     }
 }
 
@@ -377,6 +407,10 @@
                          membership::view_of(self.members).members.size(),
                          context.shared);
     finish_poison(self, context);
+    auto exchanges = make_step(self, context);
+    if (handle_reach_reply(self.reach, exchanges, event)) {
+        apply_reach(self, context);
+    }
 }
 
 void step(state& self, const settings_changed& event, context& context)
@@ -386,6 +420,7 @@
     self.pool.settings = settings.pool;
     self.topology.settings = settings.topology;
     self.load.settings = settings.load;
+    self.reach.settings = settings.reach;
     self.spread.settings = settings.spread;
     self.members.settings = settings.membership;
     self.members.seeds = event.seeds;
@@ -445,6 +480,7 @@
     made.load.settings = settings.load;
     made.random = random_source{self.incarnation + 3};
     made.exchanges.settings = settings.exchanges;
+    made.reach = make_reach(settings.reach, self.incarnation + 5, now);
     made.spread =
         poison::make_spread(settings.spread, self.incarnation + 4, now);
     return made;
@@ -474,6 +510,7 @@
     next = std::min(next, next_wakeup(self.pool));
     next = std::min(next, next_wakeup(self.exchanges));
     next = std::min(next, poison::next_wakeup(self.spread));
+    next = std::min(next, next_wakeup(self.reach));
     if (self.stop_requested_at && !self.stopped) {
         next = std::min(next, stop_deadline(self));
     }
@@ -482,7 +519,10 @@
 
 bool accepts_callers(const state& self)
 {
-    return self.ready && !self.stop_requested_at;
+    const auto& own = membership::self_of(self.members);
+    const bool others_serve = !serves(self.serving, own.name);
+    return self.ready && !self.stop_requested_at &&
+           !(own.cut_off && others_serve);
 }
 
 std::size_t in_progress(const state& self)
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -493,6 +493,7 @@
     if (failed) {
         const auto doublings = std::min(leaf.failed_connections, 6U);
         ++leaf.failed_connections;
+        leaf.connection_failed_at = context.now;
         leaf.backoff_until =
             context.now +
             std::min(pool.settings.min_backoff * (std::int64_t{1} << doublings),
@@ -508,6 +509,17 @@
     pool.connections.erase(found);
 }
 
+void forget_failures(leaf_pool& pool, boot_time now)
+{
+    for (auto& [id, leaf] : pool.leafs) {
+        leaf.failed_connections = 0;
+        leaf.failed_opens = 0;
+        leaf.unanswered_hedges = 0;
+        leaf.backoff_until = std::min(leaf.backoff_until, now);
+    }
+    pool.maintain_at = now;
+}
+
 void close_connection(leaf_pool& pool, connection_id id, context& context)
 {
     context.emit(close_leaf{id});
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -119,7 +119,8 @@
     // ones in a row that were never established.
     std::uint32_t failed_connections = 0;
     std::uint32_t failed_opens = 0;
-    boot_time backoff_until{}; // no connection is opened before
+    boot_time connection_failed_at{}; // the last of those
+    boot_time backoff_until{};        // no connection is opened before
 };
 
 struct leaf_state : leaf_process {
@@ -242,6 +243,10 @@
 // on it, which starts or extends the backoff.
 void remove_connection(leaf_pool&, connection_id, bool failed, context&);
 
+// Lets connections be opened again to leafs that could not be reached, because
+// the fault was in this daemon's own path.
+void forget_failures(leaf_pool&, boot_time now);
+
 // Closes a connection and removes it, without a backoff.
 void close_connection(leaf_pool&, connection_id, context&);
 
--- /dev/null
+++ b/libraries/gateway/reach.cpp
@@ -0,0 +1,344 @@
+#include "libraries/gateway/reach.hpp"
+
+#include "libraries/gateway/connection_quota.hpp"
+#include "libraries/gateway/events.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace bulrushspring::gateway
+{
+namespace
+{
+
+// The leafs that this daemon may use, in random order.
+std::vector<leaf_state*> usable_leafs(reach_state& reach, leaf_pool& pool,
+                                      boot_time now)
+{
+    std::vector<leaf_state*> leafs;
+    for (auto& [id, leaf] : pool.leafs) {
+        if (leaf.listed && usable(pool, leaf, now)) {
+            leafs.push_back(&leaf);
+        }
+    }
+    shuffle(std::span(leafs), reach.random);
+    return leafs;
+}
+
+// Whether a connection that was opened recently, and since the doubt began, is
+// still open.
+bool keeps_new_connection(const reach_state& reach, const leaf_pool& pool,
+                          boot_time now)
+{
+    const auto& settings = reach.settings;
+    auto earliest = now - settings.recent_contact;
+    if (reach.cut_off) {
+        earliest = std::max(earliest, reach.cut_off_at);
+    } else if (reach.doubt_since != boot_time::max()) {
+        earliest = std::max(earliest, reach.doubt_since);
+    }
+    return std::any_of(pool.connections.begin(), pool.connections.end(),
+                       [&](const auto& each) {
+                           const auto& [id, connection] = each;
+                           return connection.open && !connection.answered &&
+                                  connection.since >= earliest &&
+                                  now - connection.since >=
+                                      settings.survival_time;
+                       });
+}
+
+// The leafs at which, since the given time, an attempt was sent and is
+// unanswered for this long, or a connection has ended without an answer.
+std::size_t count_silent_leafs(const exchange_step& step,
+                               duration unanswered_for, boot_time since)
+{
+    const auto now = step.context.now;
+    std::set<std::string_view> silent;
+    for (const auto& [id, each] : step.state.attempts) {
+        if (each.sent && each.sent_at >= since &&
+            now - each.sent_at >= unanswered_for) {
+            silent.insert(each.leaf);
+        }
+    }
+    for (const auto& [id, leaf] : step.pool.leafs) {
+        if (leaf.connection_failed_at > since) {
+            silent.insert(id);
+        }
+    }
+    return silent.size();
+}
+
+std::size_t count_failed_connects(const reach_state& reach,
+                                  std::span<leaf_state* const> leafs)
+{
+    return static_cast<std::size_t>(
+        std::count_if(leafs.begin(), leafs.end(), [&](const auto* leaf) {
+            return leaf->connection_failed_at > reach.contact_at;
+        }));
+}
+
+// Opens a connection to the leaf, if need be in place of an idle one.
+bool check_leaf(exchange_step& step, leaf_state& leaf)
+{
+    if (leaf.connections > leaf.established) {
+        return false; // one is being opened
+    }
+    if (open_check(step.pool, leaf, step.context)) {
+        return true;
+    }
+    if (leaf.idle.empty()) {
+        return false;
+    }
+    close_connection(step.pool, leaf.idle.front(), step.context);
+    return open_check(step.pool, leaf, step.context);
+}
+
+void check_leafs(reach_state& reach, exchange_step& step,
+                 std::span<leaf_state* const> leafs, std::size_t count)
+{
+    if (step.context.now < reach.check_at) {
+        return;
+    }
+    reach.check_at = step.context.now + reach.settings.check_interval;
+    for (auto* leaf : leafs) {
+        count -= count > 0 && check_leaf(step, *leaf) ? 1 : 0;
+    }
+}
+
+void ask_peers(reach_state& reach, exchange_step& step,
+               std::span<const wire::member_record> live)
+{
+    std::vector<const wire::member_record*> peers;
+    for (std::size_t i = 1; i < live.size(); ++i) {
+        if (live[i].status == wire::member_status::alive && !live[i].cut_off) {
+            peers.push_back(&live[i]);
+        }
+    }
+    shuffle(std::span(peers), reach.random);
+    peers.resize(std::min(peers.size(), reach.settings.asked_peers));
+    for (const auto* each : peers) {
+        const auto question = step.context.shared.new_identifier<exchange_id>();
+        reach.questions.insert(question);
+        step.context.shared.emit(send_peer_request{
+            question, each->peer, wire::leaf_contact_request{},
+            reach.settings.question_timeout});
+    }
+}
+
+struct evidence {
+    bool connects_fail = false;
+    bool silent = false; // although connects may succeed
+};
+
+evidence collect_evidence(const reach_state& reach, const exchange_step& step,
+                          std::span<leaf_state* const> leafs)
+{
+    const auto& settings = reach.settings;
+    const auto expected = [&](std::size_t count) {
+        return std::min(count, leafs.size());
+    };
+    evidence found;
+    found.connects_fail =
+        reach.contact_at < reach.doubt_since &&
+        count_failed_connects(reach, leafs) >= expected(settings.checked_leafs);
+    found.silent =
+        step.context.now - reach.answered_at >= settings.silent_after &&
+        count_silent_leafs(step, settings.min_silent_lead, reach.answered_at) >=
+            expected(settings.silent_leafs);
+    return found;
+}
+
+// Whether contact was due and there was none.
+bool is_in_doubt(const reach_state& reach, const exchange_step& step)
+{
+    const auto& settings = reach.settings;
+    // After a check has succeeded, the next one may wait.
+    const bool checked = reach.contact_at > reach.answered_at;
+    const auto limit =
+        checked ? settings.next_doubt_after : settings.doubt_after;
+    return step.context.now - reach.contact_at >= limit &&
+           count_silent_leafs(step, settings.doubt_after, reach.contact_at) > 0;
+}
+
+void review_doubt(reach_state& reach, exchange_step& step,
+                  std::span<const wire::member_record> live)
+{
+    const auto now = step.context.now;
+    if (now - reach.answered_at < reach.settings.doubt_after) {
+        reach.doubt_since = boot_time::max();
+        reach.questions.clear();
+        return;
+    }
+    const bool doubt = is_in_doubt(reach, step);
+    reach.doubt_since =
+        doubt ? std::min(reach.doubt_since, now) : boot_time::max();
+    const auto leafs = usable_leafs(reach, step.pool, now);
+    const auto found = collect_evidence(reach, step, leafs);
+    if (leafs.empty() || now < reach.check_at) {
+        return;
+    }
+    if (found.connects_fail || found.silent) {
+        step.context.log(make_record(
+            path_doubted,
+            field("silent_ms", to_milliseconds(now - reach.answered_at)),
+            field("connects_fail", found.connects_fail ? 1 : 0),
+            field("failed_connects", count_failed_connects(reach, leafs)),
+            field("leafs", leafs.size())));
+        ask_peers(reach, step, live);
+    }
+    if (doubt || found.silent) {
+        check_leafs(reach, step, leafs, reach.settings.checked_leafs);
+    }
+}
+
+void log_change(const reach_state& reach, exchange_step& step,
+                std::int64_t peer_contact_ms)
+{
+    const auto now = step.context.now;
+    step.context.log(make_record(
+        path_changed, field("cut_off", reach.cut_off ? 1 : 0),
+        field("silent_ms", to_milliseconds(now - reach.answered_at)),
+        field("peer_contact_ms", peer_contact_ms),
+        field("return_after_ms", to_milliseconds(reach.return_after))));
+}
+
+// Whether this daemon has returned, after contact for long enough.
+bool review_return(reach_state& reach, exchange_step& step)
+{
+    const auto now = step.context.now;
+    const auto& settings = reach.settings;
+    check_leafs(reach, step, usable_leafs(reach, step.pool, now),
+                settings.checked_leafs);
+    if (now - reach.contact_at > 2 * settings.recent_contact) {
+        reach.contact_since = boot_time::max();
+    } else if (reach.contact_since == boot_time::max() &&
+               reach.contact_at > reach.cut_off_at) {
+        reach.contact_since = now;
+        forget_failures(step.pool, now);
+    }
+    if (reach.contact_since == boot_time::max() ||
+        now - reach.contact_since < reach.return_after) {
+        return false;
+    }
+    reach.cut_off = false;
+    reach.doubt_since = boot_time::max();
+    reach.returned_at = now;
+    log_change(reach, step, -1);
+    reach.answered_at = now; // from which silence counts again
+    return true;
+}
+
+// Saturates at the highest value that a message holds.
+std::uint32_t milliseconds_ago(boot_time at, boot_time now)
+{
+    constexpr std::int64_t max_age = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(
+        std::min(to_milliseconds(now - at), max_age));
+}
+
+} // namespace
+
+reach_state make_reach(const reach_options& settings, std::uint64_t seed,
+                       boot_time now)
+{
+    reach_state made;
+    made.settings = settings;
+    made.random.seed(seed);
+    made.answered_at = now;
+    made.contact_at = now;
+    made.review_at = now;
+    made.return_after = settings.return_after;
+    return made;
+}
+
+void note_answer(reach_state& reach, boot_time now)
+{
+    reach.answered_at = now;
+    reach.contact_at = now;
+}
+
+bool review_reach(reach_state& reach, exchange_step& step,
+                  std::span<const wire::member_record> live)
+{
+    const auto now = step.context.now;
+    if (now < reach.review_at) {
+        return false;
+    }
+    const bool busy =
+        reach.cut_off || step.pool.opening > 0 || !step.state.attempts.empty();
+    reach.review_at = now + (busy ? reach.settings.review_interval
+                                  : reach.settings.idle_review_interval);
+    if (keeps_new_connection(reach, step.pool, now)) {
+        reach.contact_at = now;
+    }
+    if (reach.cut_off) {
+        return review_return(reach, step);
+    }
+    review_doubt(reach, step, live);
+    return false;
+}
+
+void reply_to_question(reach_state& reach, exchange_step& step,
+                       peer_token token)
+{
+    const auto now = step.context.now;
+    step.context.shared.emit(reply_to_peer{
+        token,
+        wire::leaf_contact_reply{milliseconds_ago(reach.answered_at, now),
+                                 milliseconds_ago(reach.contact_at, now)}});
+    if (now - reach.contact_at > reach.settings.recent_contact) {
+        check_leafs(reach, step, usable_leafs(reach, step.pool, now), 1);
+    }
+}
+
+bool handle_reach_reply(reach_state& reach, exchange_step& step,
+                        const peer_reply_received& event)
+{
+    if (reach.questions.erase(event.exchange) == 0 || !event.reply ||
+        reach.cut_off) {
+        return false;
+    }
+    const auto* reply =
+        std::get_if<wire::leaf_contact_reply>(&event.reply.value());
+    if (reply == nullptr) {
+        return false;
+    }
+    const auto now = step.context.now;
+    const auto& settings = reach.settings;
+    const auto leads = [&](std::uint32_t age, boot_time own, duration lead) {
+        return now - milliseconds{age} >= own + lead;
+    };
+    const auto found =
+        collect_evidence(reach, step, usable_leafs(reach, step.pool, now));
+    const bool cut_off =
+        (found.connects_fail &&
+         leads(reply->contact_ms_ago, reach.contact_at, settings.min_lead)) ||
+        (found.silent && leads(reply->answered_ms_ago, reach.answered_at,
+                               settings.min_silent_lead));
+    if (!cut_off) {
+        return false;
+    }
+    const bool flapping = reach.returned_at != boot_time::min() &&
+                          now - reach.returned_at < settings.flapping_time;
+    reach.return_after =
+        flapping ? std::min(2 * reach.return_after, settings.max_return_after)
+                 : settings.return_after;
+    reach.cut_off = true;
+    reach.cut_off_at = now;
+    reach.contact_since = boot_time::max();
+    reach.questions.clear();
+    log_change(reach, step, reply->contact_ms_ago);
+    return true;
+}
+
+bool is_out_of_reach(const reach_state& reach)
+{
+    return reach.cut_off && reach.contact_since == boot_time::max();
+}
+
+boot_time next_wakeup(const reach_state& reach)
+{
+    return reach.review_at;
+}
+
+} // namespace bulrushspring::gateway
--- /dev/null
+++ b/libraries/gateway/reach.hpp
@@ -0,0 +1,94 @@
+#ifndef BULRUSHSPRING_LIBRARIES_GATEWAY_REACH_HPP
+#define BULRUSHSPRING_LIBRARIES_GATEWAY_REACH_HPP
+
+#include "libraries/gateway/exchange.hpp"
+
+#include <set>
+
+// Whether this daemon reaches the leafs.
+//
+// A daemon that has lost its path to all leafs must not be given to callers
+// while other daemons reach them; if the leafs are down for all, it must stay.
+// It doubts its path when no leaf has answered for a while although an answer
+// or a connection was due. Then it opens connections to some leafs, which tell
+// within one round trip, however busy the leafs are, and asks peers about their
+// last contact with leafs. It is cut off if its own connects fail, or nothing
+// answers on them for longer, and a peer has had contact since.
+namespace bulrushspring::gateway
+{
+
+struct reach_options {
+    // No answer for this long, although one was due, raises doubt.
+    duration doubt_after = milliseconds{300};
+    // The same, once a check has found the path to hold.
+    duration next_doubt_after = milliseconds{1000};
+    // The same, when leafs accept connections but answer nothing on them.
+    duration silent_after = milliseconds{1500};
+    duration review_interval = milliseconds{100};
+    duration idle_review_interval = milliseconds{250};
+    // A connection counts as contact from this age on: it may be reset at once.
+    duration survival_time = milliseconds{50};
+    duration recent_contact = milliseconds{400};
+    // Connections opened at a time as a check; as many failures at different
+    // leafs, or failures at all, confirm the doubt.
+    std::size_t checked_leafs = 3;
+    std::size_t silent_leafs = 5;
+    duration check_interval = milliseconds{200};
+    std::size_t asked_peers = 3;
+    milliseconds question_timeout{400};
+    // A peer's contact counts if it is later than the own last one by this
+    // much: what ended the own ones may have reached the peer a little later.
+    duration min_lead = milliseconds{150};
+    // The same for answers, when leafs accept connections.
+    duration min_silent_lead = milliseconds{1000};
+    // How long contact has to last before callers return. Doubled, up to the
+    // maximum, each time that the daemon is cut off again soon after.
+    duration return_after = milliseconds{1000};
+    duration max_return_after = seconds{8};
+    duration flapping_time = seconds{20};
+};
+
+struct reach_state {
+    reach_options settings;
+    random_source random;
+    boot_time answered_at{};
+    boot_time contact_at{}; // a leaf answered, or keeps a new connection open
+    boot_time doubt_since = boot_time::max();
+    bool cut_off = false;
+    boot_time cut_off_at{};
+    // Since when there has been contact again while cut off.
+    boot_time contact_since = boot_time::max();
+    boot_time returned_at = boot_time::min();
+    duration return_after{0};
+    boot_time review_at{};
+    boot_time check_at{};
+    std::set<exchange_id> questions; // to peers, not answered yet
+};
+
+reach_state make_reach(const reach_options&, std::uint64_t seed, boot_time now);
+
+// Notes that a leaf has answered.
+void note_answer(reach_state&, boot_time now);
+
+// Checks the path if there is doubt, and decides about the return. `live` are
+// the live members, of which the first is this daemon. Returns true if
+// `cut_off` has changed.
+bool review_reach(reach_state&, exchange_step&,
+                  std::span<const wire::member_record> live);
+
+// Tells a peer about the last contact with a leaf, and checks the path if that
+// was long ago.
+void reply_to_question(reach_state&, exchange_step&, peer_token);
+
+// Takes a peer's reply. Returns true if `cut_off` has changed.
+bool handle_reach_reply(reach_state&, exchange_step&,
+                        const peer_reply_received&);
+
+// Whether requests are to be refused, since no leaf is reached.
+bool is_out_of_reach(const reach_state&);
+
+boot_time next_wakeup(const reach_state&);
+
+} // namespace bulrushspring::gateway
+
+#endif
--- a/libraries/membership/membership.cpp
+++ b/libraries/membership/membership.cpp
@@ -215,6 +215,13 @@
     }
 }
 
+// Adopts a changed record of this daemon and announces it to all members.
+void announce(state& membership, const member_record& self, boot_time now)
+{
+    set_record(membership, self_index, self, now);
+    announce_self(membership, self.refutation + 1, now);
+}
+
 } // namespace
 
 state make_state(const member_record& self, std::vector<endpoint> seeds,
@@ -342,16 +349,21 @@
 {
     auto self = self_record(membership);
     self.overloaded = overloaded;
-    set_record(membership, self_index, self, now);
-    announce_self(membership, self.refutation + 1, now);
+    announce(membership, self, now);
+}
+
+void set_cut_off(state& membership, bool cut_off, boot_time now)
+{
+    auto self = self_record(membership);
+    self.cut_off = cut_off;
+    announce(membership, self, now);
 }
 
 void set_capacity(state& membership, std::uint32_t capacity, boot_time now)
 {
     auto self = self_record(membership);
     self.capacity = capacity;
-    set_record(membership, self_index, self, now);
-    announce_self(membership, self.refutation + 1, now);
+    announce(membership, self, now);
 }
 
 void set_digest(state& membership, const wire::digest& in_force)
--- a/libraries/membership/membership.hpp
+++ b/libraries/membership/membership.hpp
@@ -47,6 +47,9 @@
 // Announces to all members whether callers wait for this daemon's processor.
 void set_overloaded(state&, bool overloaded, boot_time now);
 
+// Announces to all members whether this daemon reaches no leaf while others do.
+void set_cut_off(state&, bool cut_off, boot_time now);
+
 // Announces to all members a new size of this daemon's VM, in thousandths of a
 // core.
 void set_capacity(state&, std::uint32_t capacity, boot_time now);
--- a/libraries/wire/frame.cpp
+++ b/libraries/wire/frame.cpp
@@ -73,6 +73,17 @@
     archive(bounded_list<crash_report>{reply.reports, max_reports_in_frame});
 }
 
+template <typename Archive>
+void serialize(Archive& /*archive*/, leaf_contact_request& /*request*/)
+{
+}
+
+template <typename Archive>
+void serialize(Archive& archive, leaf_contact_reply& reply)
+{
+    archive(varint{reply.answered_ms_ago}, varint{reply.contact_ms_ago});
+}
+
 namespace
 {
 
@@ -148,6 +159,11 @@
         archive(message);
         return message;
     }
+    if (tag == first_tag<Variant> + 4) {
+        std::variant_alternative_t<4, Variant> message;
+        archive(message);
+        return message;
+    }
     throw cereal::Exception("unknown message tag");
 }
 
--- a/libraries/wire/message.hpp
+++ b/libraries/wire/message.hpp
@@ -35,6 +35,7 @@
     member_status status = member_status::alive;
     std::uint32_t capacity = 0; // thousandths of a core; 0 if unknown
     bool overloaded = false;    // callers wait for its processor
+    bool cut_off = false;       // it reaches no leaf, while others do
 
     bool operator==(const member_record&) const = default;
 };
@@ -187,10 +188,22 @@
     std::vector<crash_report> reports;
 };
 
-using peer_request = std::variant<documents_request, members_request,
-                                  records_request, crash_reports_request>;
+// Sent over TCP. Asks for the receiver's last contact with any leaf.
+struct leaf_contact_request {
+};
+
+// Milliseconds since a leaf answered the sender, and since one last accepted a
+// connection of it or answered. The highest value is sent for longer times.
+struct leaf_contact_reply {
+    std::uint32_t answered_ms_ago = 0xFFFFFFFFU;
+    std::uint32_t contact_ms_ago = 0xFFFFFFFFU;
+};
+
+using peer_request =
+    std::variant<documents_request, members_request, records_request,
+                 crash_reports_request, leaf_contact_request>;
 using peer_reply = std::variant<documents_reply, members_reply, records_reply,
-                                crash_reports_reply>;
+                                crash_reports_reply, leaf_contact_reply>;
 
 } // namespace bulrushspring::wire
 
