gateway: Tell the fleet when a leaf's limit begins and ends

A daemon that holds no part of a small limit sends the leaf a request every few minutes at most (0.5 a second, 15 serving daemons: one in 280 s), and would keep off it that long after the limit has ended. Changes of a stated rate now spread by gossip, as reports of crashes do: each names the leaf's process and the age of the statement, and a newer one wins. The choice of receivers moves from libraries/poison to membership/receivers.hpp.

Tests: peers_tell_when_a_limit_begins_and_ends; rate_share_test shows that 295 daemons which saved up what they may keep to half a request a second, and that the parts of a fleet of any size add up to the limit.

--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -248,6 +248,8 @@
     maintain(self.pool, context);
     poison::advance(self.spread, self.exchanges.poison,
                     membership::view_of(self.members).members, context.shared);
+    advance(self.rates, self.pool, membership::view_of(self.members).members,
+            context);
     activate_table_if_prepared(self, context);
     auto exchanges = make_step(self, context);
     run_due_timers(exchanges);
@@ -382,6 +384,9 @@
         poison::receive(self.spread, self.exchanges.poison, crashes->reports,
                         to_string(event.from), context.shared);
         finish_poison(self, context);
+    } else if (const auto* stated =
+                   std::get_if<wire::leaf_rates>(&event.message)) {
+        receive(self.pool, stated->rates, context);
     }
 }
 
@@ -421,6 +426,7 @@
     self.topology.settings = settings.topology;
     self.load.settings = settings.load;
     self.reach.settings = settings.reach;
+    self.rates.settings = settings.rates;
     self.spread.settings = settings.spread;
     self.members.settings = settings.membership;
     self.members.seeds = event.seeds;
@@ -480,6 +486,7 @@
     made.load.settings = settings.load;
     made.random = random_source{self.incarnation + 3};
     made.exchanges.settings = settings.exchanges;
+    made.rates = make_rate_spread(settings.rates, self.incarnation + 6, now);
     made.reach = make_reach(settings.reach, self.incarnation + 5, now);
     made.spread =
         poison::make_spread(settings.spread, self.incarnation + 4, now);
@@ -511,6 +518,7 @@
     next = std::min(next, next_wakeup(self.exchanges));
     next = std::min(next, poison::next_wakeup(self.spread));
     next = std::min(next, next_wakeup(self.reach));
+    next = std::min(next, next_wakeup(self.rates));
     if (self.stop_requested_at && !self.stopped) {
         next = std::min(next, stop_deadline(self));
     }
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include "libraries/gateway/entries.hpp"
 #include "libraries/gateway/exchange.hpp"
 #include "libraries/gateway/load.hpp"
+#include "libraries/gateway/rate_spread.hpp"
 #include "libraries/gateway/reach.hpp"
 #include "libraries/gateway/serving_set.hpp"
 #include "libraries/membership/membership.hpp"
@@ -25,6 +26,7 @@
     entry_options entries;
     load_options load;
     reach_options reach;
+    rate_spread_options rates;
     poison::spread_options spread;
     // Processor share of this VM, in thousandths of a core; 0: unknown.
     std::uint32_t capacity = 0;
@@ -74,6 +76,7 @@
     poison::spread_state spread; // of exchanges.poison
     load_state load;
     reach_state reach;
+    rate_spread rates; // of pool
     serving_set serving;
     random_source random;
     std::uint64_t fleet_generation = 0; // of the membership view last counted
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -314,40 +314,41 @@
              pool.random, now);
 }
 
-// Adopts a limit that a leaf states, or its end, and logs a change.
-void set_rate_limit(leaf_pool& pool, leaf_state& leaf,
-                    std::optional<double> limit, context& context)
-{
-    leaf.rate_stated_at = context.now;
-    if (leaf.rate_limit == limit) {
-        return;
-    }
-    leaf.rate_limit = limit;
-    if (limit) {
-        set_rate_part(pool, leaf, context.now);
-    } else {
-        leaf.rate = {};
-    }
-    log_rate(leaf, true, context);
-}
-
 void apply_rate_statement(leaf_pool& pool, leaf_state& leaf,
                           const leaf_reply& reply, boot_time sent_at,
                           context& context)
 {
     if (reply.rate.per_second) {
-        set_rate_limit(pool, leaf, reply.rate.per_second, context);
+        set_rate_limit(pool, leaf, reply.rate.per_second, context.now, context);
     } else if (reply.rate.present) {
         log_rate(leaf, false, context);
     } else if (leaf.rate_limit && !reply.signature.empty() &&
                sent_at > leaf.rate_stated_at) {
         // Earlier requests may be answered out of order.
-        set_rate_limit(pool, leaf, std::nullopt, context);
+        set_rate_limit(pool, leaf, std::nullopt, context.now, context);
     }
 }
 
 } // namespace
 
+void set_rate_limit(leaf_pool& pool, leaf_state& leaf,
+                    std::optional<double> limit, boot_time stated_at,
+                    context& context)
+{
+    leaf.rate_stated_at = stated_at;
+    if (leaf.rate_limit == limit) {
+        return;
+    }
+    leaf.rate_limit = limit;
+    if (limit) {
+        set_rate_part(pool, leaf, context.now);
+    } else {
+        leaf.rate = {};
+    }
+    log_rate(leaf, true, context);
+    pool.changed_rates.push_back(leaf.published.id);
+}
+
 void apply_leaf_state(leaf_pool& pool, connection_id id,
                       const leaf_reply& reply, boot_time sent_at,
                       context& context)
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -173,6 +173,7 @@
     std::uint32_t opening = 0; // connections being opened
     fleet_summary fleet;
     rate_sharers sharers;
+    std::vector<std::string> changed_rates; // leafs, for other daemons
     boot_time maintain_at{};
 };
 
@@ -210,6 +211,11 @@
 // Whether the leaf's stated rate allows a request of this daemon now.
 bool rate_admits(const leaf_state&, boot_time now);
 
+// Adopts a rate that the leaf has stated, or that it states none any more, and
+// notes a change for other daemons.
+void set_rate_limit(leaf_pool&, leaf_state&, std::optional<double> limit,
+                    boot_time stated_at, context&);
+
 // Counts a request that is sent to a leaf against its stated rate.
 void count_request(leaf_pool&, leaf_state&, boot_time now);
 
--- a/libraries/membership/membership.cpp
+++ b/libraries/membership/membership.cpp
@@ -175,6 +175,11 @@
 {
 }
 
+void handle_message(state& /*membership*/, const wire::leaf_rates& /*message*/,
+                    endpoint /*from*/, context& /*effects*/)
+{
+}
+
 std::string region_of(const manifest::fleet& entries,
                       const std::string& data_centre)
 {
--- a/libraries/poison/spread.cpp
+++ b/libraries/poison/spread.cpp
@@ -1,11 +1,11 @@
 #include "libraries/poison/spread.hpp"
 
+#include "libraries/membership/receivers.hpp"
 #include "libraries/poison/events.hpp"
 #include "libraries/wire/datagram.hpp"
 #include "libraries/wire/frame.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace bulrushspring::poison
@@ -61,31 +61,6 @@
     self.queue.push_back(added);
 }
 
-std::uint32_t max_transmissions(const spread_state& self,
-                                std::size_t fleet_size)
-{
-    return static_cast<std::uint32_t>(
-        std::ceil(self.settings.transmission_factor *
-                  std::log2(static_cast<double>(fleet_size + 1))));
-}
-
-// Random members other than this daemon, which is the first. They are chosen
-// evenly from all data centres.
-std::vector<endpoint>
-choose_receivers(spread_state& self, std::span<const wire::member_record> live)
-{
-    std::vector<endpoint> receivers;
-    for (std::size_t i = 0; i < self.settings.fanout; ++i) {
-        const auto chosen = 1 + random_below(self.random, live.size() - 1);
-        const auto address = live[chosen].peer;
-        if (std::find(receivers.begin(), receivers.end(), address) ==
-            receivers.end()) {
-            receivers.push_back(address);
-        }
-    }
-    return receivers;
-}
-
 // Takes the reports to send next, as many as fit into `room` bytes.
 wire::crash_reports take_reports(spread_state& self, const state& table,
                                  std::size_t room, std::uint32_t receivers,
@@ -113,7 +88,8 @@
 void send_reports(spread_state& self, const state& table,
                   std::span<const wire::member_record> live, context& context)
 {
-    const auto receivers = choose_receivers(self, live);
+    const auto receivers =
+        membership::choose_receivers(self.random, live, self.settings.fanout);
     const auto count = static_cast<std::uint32_t>(receivers.size());
     const auto base = wire::base_size(wire::crash_reports{});
     const auto allowed = std::min(
@@ -135,7 +111,8 @@
     for (const auto& to : receivers) {
         context.emit(send_datagram{to, message});
     }
-    const auto limit = max_transmissions(self, live.size());
+    const auto limit = membership::max_transmissions(
+        self.settings.transmission_factor, live.size());
     std::erase_if(self.queue, [&](const auto& each) {
         return each.transmissions >= limit;
     });
--- a/libraries/wire/datagram.cpp
+++ b/libraries/wire/datagram.cpp
@@ -56,6 +56,11 @@
     return count_bytes;
 }
 
+std::size_t base_content_size(const leaf_rates& /*message*/)
+{
+    return count_bytes;
+}
+
 // Counts the records, from the first on, that fit into `room` bytes, and
 // reduces `room` by their sizes.
 template <typename Record>
@@ -141,18 +146,32 @@
     return message;
 }
 
-void save_message(cereal::PortableBinaryOutputArchive& archive,
-                  const crash_reports& message, packed_datagram& /*packed*/)
+// Saves a list that has to fit into the datagram as a whole.
+template <typename Message, typename Record>
+void save_list(cereal::PortableBinaryOutputArchive& archive,
+               const Message& message, std::vector<Record> records,
+               std::size_t max_records)
 {
     std::size_t size = base_size(message);
-    for (const auto& each : message.reports) {
+    for (const auto& each : records) {
         size += encoded_size(each);
     }
     if (size > max_datagram_bytes) {
-        throw cereal::Exception("reports exceed the datagram limit");
+        throw cereal::Exception("list exceeds the datagram limit");
     }
-    auto reports = message.reports;
-    archive(bounded_list<crash_report>{reports, max_reports_in_datagram});
+    archive(bounded_list<Record>{records, max_records});
+}
+
+void save_message(cereal::PortableBinaryOutputArchive& archive,
+                  const crash_reports& message, packed_datagram& /*packed*/)
+{
+    save_list(archive, message, message.reports, max_reports_in_datagram);
+}
+
+void save_message(cereal::PortableBinaryOutputArchive& archive,
+                  const leaf_rates& message, packed_datagram& /*packed*/)
+{
+    save_list(archive, message, message.rates, max_rates_in_datagram);
 }
 
 datagram load_datagram(cereal::PortableBinaryInputArchive& archive)
@@ -174,6 +193,11 @@
                                            max_reports_in_datagram});
         return message;
     }
+    case 5: {
+        leaf_rates message;
+        archive(bounded_list<leaf_rate>{message.rates, max_rates_in_datagram});
+        return message;
+    }
     default:
         throw cereal::Exception("unknown message tag");
     }
@@ -264,6 +288,14 @@
     return size;
 }
 
+std::size_t encoded_size(const leaf_rate& rate)
+{
+    constexpr std::size_t flag_bytes = 1;
+    return text_size(rate.leaf) + varint_size(rate.incarnation) + flag_bytes +
+           varint_size(rate.millirequests_per_second) +
+           varint_size(rate.stated_ms_ago);
+}
+
 std::size_t base_size(const datagram& message)
 {
     const auto content = std::visit(
--- a/libraries/wire/datagram.hpp
+++ b/libraries/wire/datagram.hpp
@@ -22,6 +22,9 @@
 // The limit on the reports of crashes in one datagram.
 inline constexpr std::size_t max_reports_in_datagram = 64;
 
+// The limit on the stated rates of leafs in one datagram.
+inline constexpr std::size_t max_rates_in_datagram = 32;
+
 // An encoded datagram. Only the first `members` and the first `leaving`
 // elements of the message's lists fitted into it.
 struct packed_datagram {
@@ -46,6 +49,7 @@
 std::size_t encoded_size(const member_record& record);
 std::size_t encoded_size(const leaving_leaf& leaf);
 std::size_t encoded_size(const crash_report& report);
+std::size_t encoded_size(const leaf_rate& rate);
 
 // The size in bytes of the datagram of a message without its piggybacked
 // records.
--- a/libraries/wire/message.hpp
+++ b/libraries/wire/message.hpp
@@ -120,8 +120,26 @@
     std::vector<crash_report> reports;
 };
 
+// The requests a second that a leaf process takes from all daemons together, as
+// it has stated to some daemon.
+struct leaf_rate {
+    std::string leaf;
+    std::uint64_t incarnation = 0;
+    bool limited = false;                       // else it has stated none
+    std::uint64_t millirequests_per_second = 0; // if limited
+    std::uint32_t stated_ms_ago = 0;
+
+    bool operator==(const leaf_rate&) const = default;
+};
+
+// Spreads changes of the rates that leafs state.
+struct leaf_rates {
+    std::vector<leaf_rate> rates;
+};
+
 // Only ever extended at its end: a daemon drops messages it doesn't know.
-using datagram = std::variant<ping, ack, ping_request, gossip, crash_reports>;
+using datagram =
+    std::variant<ping, ack, ping_request, gossip, crash_reports, leaf_rates>;
 
 // Sent over TCP. Asks for the digest and for any of the documents in force: the
 // manifest's index, the list of VMs and sections by their hashes. A requester
--- a/libraries/wire/serialize.hpp
+++ b/libraries/wire/serialize.hpp
@@ -265,6 +265,14 @@
             bounded_list<leaf_crash>{report.crashes, max_crashes_in_report});
 }
 
+template <typename Archive>
+void serialize(Archive& archive, leaf_rate& rate)
+{
+    archive(bounded_text{rate.leaf, max_name_bytes}, varint{rate.incarnation},
+            rate.limited, varint{rate.millirequests_per_second},
+            varint{rate.stated_ms_ago});
+}
+
 } // namespace bulrushspring::wire
 
 #endif
--- a/tests/gateway/leaf_limit_test.cpp
+++ b/tests/gateway/leaf_limit_test.cpp
@@ -204,6 +204,32 @@
     BOOST_TEST(total >= 1U);
 }
 
+// A daemon that sends the leaf nothing hears of the end from others, but an
+// older statement than its own changes nothing.
+BOOST_FIXTURE_TEST_CASE(peers_tell_when_a_limit_begins_and_ends, limit_fixture)
+{
+    make_single_route(true, 1);
+    const auto tell = [&](bool limited, std::uint32_t ms_ago) {
+        feed(datagram_received{
+            parse_endpoint("127.0.0.1:7004").value(),
+            wire::leaf_rates{{{"one-0", 0, limited, 10000, ms_ago}}}});
+        return state.pool.leafs.at("one-0").rate_limit.value_or(-1);
+    };
+    advance(seconds{1}, milliseconds{10});
+    BOOST_TEST(tell(true, 100) == 10.0);
+    BOOST_TEST(tell(false, 200) == 10.0);
+    BOOST_TEST(tell(false, 50) == -1.0);
+    // What has changed here is told to others.
+    shared.clear();
+    tell(true, 0);
+    advance(seconds{1}, milliseconds{10});
+    BOOST_TEST(std::any_of(shared.begin(), shared.end(), [](const auto& each) {
+        const auto* sent = std::get_if<send_datagram>(&each);
+        return sent != nullptr &&
+               std::holds_alternative<wire::leaf_rates>(sent->message);
+    }));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_restarted_leaf_has_no_limit, limit_fixture)
 {
     make_single_route(true, 1);
--- /dev/null
+++ b/tests/gateway/rate_share_test.cpp
@@ -0,0 +1,119 @@
+#include "libraries/gateway/rate_share.hpp"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+// How daemons divide the rate that a leaf states, without talking about it.
+namespace bulrushspring::gateway::test
+{
+
+namespace
+{
+
+constexpr boot_time start{seconds{1000}};
+
+std::vector<wire::member_record> make_members(std::size_t count)
+{
+    std::vector<wire::member_record> members(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        members[i].name = "entry-" + std::to_string(i);
+    }
+    return members;
+}
+
+// Each daemon sends as much as it may. Returns the most requests in 4 s, from
+// `from` on, after a pause in which all could have saved up requests.
+std::size_t busiest_window(std::size_t fleet, std::size_t serving, double limit,
+                           std::uint64_t seed)
+{
+    const auto members = make_members(fleet);
+    rate_sharers sharers;
+    update(sharers, std::span(members).first(serving), fleet, true, start);
+    random_source random(seed);
+    std::vector<rate_gate> gates(fleet);
+    for (std::size_t i = 0; i < fleet; ++i) {
+        set_part(gates[i], part_of(sharers, members[i].name, "leaf", limit),
+                 random, start);
+    }
+    const boot_time from = start + seconds{300};
+    std::vector<boot_time> sent;
+    std::size_t most = 0;
+    for (boot_time now = from; now < from + seconds{12};
+         now += milliseconds{10}) {
+        for (auto& gate : gates) {
+            renew_slot(gate, random, now);
+            while (admits_at(gate, now) <= now) {
+                count_request(gate, random, now);
+                sent.push_back(now);
+            }
+        }
+        const auto begin = std::find_if(sent.begin(), sent.end(), [&](auto at) {
+            return now - at <= seconds{4};
+        });
+        most = std::max(most, static_cast<std::size_t>(sent.end() - begin));
+    }
+    return most;
+}
+
+} // namespace
+
+// LIMIT: one request of each daemon of a large fleet would break a small limit.
+BOOST_AUTO_TEST_CASE(hundreds_of_daemons_keep_to_half_a_request_a_second)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        BOOST_TEST(busiest_window(295, 295, 0.5, seed) <= 8U);
+        BOOST_TEST(busiest_window(295, 15, 0.5, seed) <= 8U);
+    }
+}
+
+RC_BOOST_PROP(a_fleet_of_any_size_keeps_to_any_limit, ())
+{
+    const auto fleet = *rc::gen::inRange<std::size_t>(1, 60);
+    const auto serving = *rc::gen::inRange<std::size_t>(1, fleet + 1);
+    const double limit = 0.1 * *rc::gen::inRange(1, 2000);
+    const auto most = busiest_window(fleet, serving, limit, 1);
+    RC_ASSERT(static_cast<double>(most) <= 1.5 * limit * 4.0 + 5.0);
+}
+
+// The parts are worth the limit: callers of all serving daemons can use it up.
+RC_BOOST_PROP(the_parts_of_all_daemons_add_up_to_the_limit, ())
+{
+    const auto fleet = *rc::gen::inRange<std::size_t>(1, 100);
+    const auto serving = *rc::gen::inRange<std::size_t>(1, fleet + 1);
+    const double limit = 0.1 * *rc::gen::inRange(1, 2000);
+    const auto members = make_members(fleet);
+    rate_sharers sharers;
+    update(sharers, std::span(members).first(serving), fleet, true, start);
+    double sum = 0;
+    for (const auto& each : members) {
+        sum += part_of(sharers, each.name, "leaf", limit).per_second;
+    }
+    RC_ASSERT(sum > 0.99 * limit);
+    RC_ASSERT(sum < 1.01 * limit);
+}
+
+// Halves of a fleet that don't hear each other don't take the limit twice.
+BOOST_AUTO_TEST_CASE(a_smaller_fleet_raises_the_parts_slowly)
+{
+    const auto members = make_members(20);
+    rate_sharers sharers;
+    update(sharers, members, 20, true, start);
+    const auto part = [&] {
+        return part_of(sharers, "entry-0", "leaf", 40).per_second;
+    };
+    BOOST_TEST(part() == 2.0);
+    update(sharers, std::span(members).first(10), 10, true,
+           start + seconds{10});
+    BOOST_TEST(part() <= 2.5);
+    update(sharers, std::span(members).first(10), 10, true,
+           start + seconds{120});
+    BOOST_TEST(part() == 4.0);
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_knows_no_fleet_has_no_part)
+{
+    BOOST_TEST(part_of({}, "entry-0", "leaf", 40).per_second == 0.0);
+}
+
+} // namespace bulrushspring::gateway::test
--- a/tests/wire/frame_test.cpp
+++ b/tests/wire/frame_test.cpp
@@ -15,6 +15,9 @@
     if (*rc::gen::inRange(0, 4) == 0) {
         return wire::crash_reports_request{};
     }
+    if (*rc::gen::inRange(0, 4) == 0) {
+        return wire::leaf_contact_request{};
+    }
     if (*rc::gen::arbitrary<bool>()) {
         return wire::members_request{any_records(5)};
     }
@@ -34,6 +37,10 @@
     if (*rc::gen::inRange(0, 3) == 0) {
         return wire::crash_reports_reply{any_reports(5)};
     }
+    if (*rc::gen::inRange(0, 3) == 0) {
+        return wire::leaf_contact_reply{*rc::gen::arbitrary<std::uint32_t>(),
+                                        *rc::gen::arbitrary<std::uint32_t>()};
+    }
     if (*rc::gen::arbitrary<bool>()) {
         return wire::members_reply{any_records(5)};
     }
--- a/tests/wire/generators.hpp
+++ b/tests/wire/generators.hpp
@@ -90,9 +90,22 @@
     return reports;
 }
 
+inline std::vector<wire::leaf_rate> any_rates(std::size_t max_count)
+{
+    std::vector<wire::leaf_rate> rates(
+        *rc::gen::inRange<std::size_t>(0, max_count + 1));
+    for (auto& rate : rates) {
+        rate = {any_text(64), *rc::gen::arbitrary<std::uint64_t>(),
+                *rc::gen::arbitrary<bool>(),
+                *rc::gen::arbitrary<std::uint64_t>(),
+                *rc::gen::arbitrary<std::uint32_t>()};
+    }
+    return rates;
+}
+
 inline wire::datagram any_datagram(std::size_t max_count)
 {
-    switch (*rc::gen::inRange(0, 5)) {
+    switch (*rc::gen::inRange(0, 6)) {
     case 0: {
         auto message = any_message_with_updates<wire::ping>(max_count);
         message.sequence = *rc::gen::arbitrary<std::uint64_t>();
@@ -108,6 +121,8 @@
                                   any_record(), any_text(64), any_endpoint(0)};
     case 3:
         return wire::crash_reports{any_reports(max_count)};
+    case 4:
+        return wire::leaf_rates{any_rates(max_count)};
     default:
         return any_message_with_updates<wire::gossip>(max_count);
     }
