--- a/fakes/site/proxy.cpp
+++ b/fakes/site/proxy.cpp
@@ -7,7 +7,8 @@
 
 proxy::proxy(event_base* base, const endpoint& address, const endpoint& server)
     : base_(base), server_(server),
-      cleanup_timer_(event_new(base, -1, 0, free_closed, this))
+      cleanup_timer_(event_new(base, -1, 0, free_closed, this)),
+      classify_timer_(event_new(base, -1, EV_PERSIST, on_classify, this))
 {
     const auto where = shell::to_socket_address(address);
     constexpr int backlog = 256;
@@ -17,11 +18,13 @@
 }
 
 void proxy::accept(evconnlistener* /*listener*/, evutil_socket_t socket,
-                   sockaddr* /*from*/, int /*size*/, void* argument)
+                   sockaddr* from, int /*size*/, void* argument)
 {
     auto& owner = *static_cast<proxy*>(argument);
     auto& created = owner.pairs_.emplace_back();
     created.owner = &owner;
+    created.client_port =
+        shell::from_socket_address(*reinterpret_cast<sockaddr_in*>(from)).port;
     created.client_side.reset(
         bufferevent_socket_new(owner.base_, socket, BEV_OPT_CLOSE_ON_FREE));
     created.server_side.reset(
@@ -36,6 +39,43 @@
     bufferevent_socket_connect(created.server_side.get(),
                                reinterpret_cast<const sockaddr*>(&to),
                                sizeof to);
+    created.accepted_at = system_boot_clock{}.now();
+    created.cut = static_cast<bool>(owner.cut_.ports);
+}
+
+void proxy::cut_clients(const client_cut& cut)
+{
+    cut_ = cut;
+    classify();
+    if (!cut.ports) {
+        event_del(classify_timer_.get());
+    } else {
+        const auto interval = shell::to_timeval(port_cache_time);
+        event_add(classify_timer_.get(), &interval);
+    }
+}
+
+void proxy::on_classify(evutil_socket_t /*socket*/, short /*events*/,
+                        void* argument)
+{
+    static_cast<proxy*>(argument)->classify();
+}
+
+void proxy::classify()
+{
+    const auto ports = cut_.ports ? cut_.ports() : std::set<std::uint16_t>{};
+    const auto latest = system_boot_clock{}.now() - port_cache_time;
+    for (auto& each : pairs_) {
+        if (each.closed || (cut_.ports && each.accepted_at > latest)) {
+            continue;
+        }
+        each.cut = ports.count(each.client_port) > 0;
+        if (each.cut && cut_.reset) {
+            close(each, true);
+        } else {
+            forward(each);
+        }
+    }
 }
 
 void proxy::set_condition(link_condition condition, duration delay)
@@ -62,7 +102,7 @@
 
 void proxy::forward(connection_pair& connection)
 {
-    if (condition_ == link_condition::silent) {
+    if (condition_ == link_condition::silent || connection.cut) {
         return;
     }
     bufferevent_write_buffer(
@@ -100,7 +140,7 @@
     auto& self = *connection.owner;
     if ((events & BEV_EVENT_CONNECTED) != 0) {
         self.forward(connection);
-    } else if (self.condition_ != link_condition::silent) {
+    } else if (self.condition_ != link_condition::silent && !connection.cut) {
         self.forward(connection);
         self.close(connection, (events & BEV_EVENT_ERROR) != 0);
     }
--- a/fakes/site/proxy.hpp
+++ b/fakes/site/proxy.hpp
@@ -3,7 +3,9 @@
 
 #include "libraries/shell/handles.hpp"
 
+#include <functional>
 #include <list>
+#include <set>
 
 namespace bulrushspring::site
 {
@@ -15,6 +17,16 @@
     one_way, // only bytes to the server are forwarded
 };
 
+// Reading the ports of all connections takes milliseconds.
+inline constexpr milliseconds port_cache_time{100};
+
+// The connections of some clients that a proxy cuts off, while the others pass.
+struct client_cut {
+    // The ports of the clients, as they were at most port_cache_time ago.
+    std::function<std::set<std::uint16_t>()> ports;
+    bool reset = false; // else their connections hang
+};
+
 // A TCP proxy in front of a server that injects network faults.
 class proxy
 {
@@ -23,6 +35,8 @@
 
     void set_condition(link_condition condition,
                        duration delay = milliseconds{50});
+    // Cuts off these clients until the cut without ports.
+    void cut_clients(const client_cut& cut);
     // Resets all open connections. New connections are accepted.
     void reset_connections();
 
@@ -33,6 +47,9 @@
         shell::stream_handle server_side;
         shell::event_handle delay_timer;
         bool closed = false;
+        std::uint16_t client_port = 0;
+        boot_time accepted_at{};
+        bool cut = false; // of a client that is cut off, or not known yet
     };
 
     static void accept(evconnlistener* listener, evutil_socket_t socket,
@@ -43,6 +60,10 @@
                                  void* argument);
     static void free_closed(evutil_socket_t socket, short events,
                             void* argument);
+    static void on_classify(evutil_socket_t socket, short events,
+                            void* argument);
+    // Cuts off, or lets pass, the connections accepted long enough ago.
+    void classify();
     void forward(connection_pair& connection);
     void close(connection_pair& connection, bool reset);
 
@@ -51,8 +72,10 @@
     shell::listener_handle listener_;
     std::list<connection_pair> pairs_;
     shell::event_handle cleanup_timer_;
+    shell::event_handle classify_timer_; // while there is a cut
     link_condition condition_ = link_condition::normal;
     duration delay_{0};
+    client_cut cut_;
 };
 
 } // namespace bulrushspring::site
--- a/fakes/site/site.hpp
+++ b/fakes/site/site.hpp
@@ -30,6 +30,8 @@
     bool stopping = false;  // SIGTERM has been sent
     boot_time stopped_at{}; // the time of the first SIGTERM
     bool overdue = false;   // ran longer after SIGTERM than it may
+    boot_time cut_since = boot_time::max(); // from all leafs
+    bool cut_reported = false; // callers were sent to it nevertheless
     bool paused = false;
     boot_time paused_at{};
     // Failures that callers see before this time may be caused by injected
@@ -43,6 +45,7 @@
     std::unique_ptr<proxy> link;
     std::string published; // its record's content
     bool listed = true;
+    bool over_limit = false; // got more than the limit that it states
 };
 
 // An installation on loopback addresses: a simulated store and simulated
@@ -67,6 +70,10 @@
     // Reaps daemon processes that have exited. Returns false if one of them was
     // neither killed by SIGKILL nor exited with status 0 after SIGTERM.
     bool reap();
+    // Cuts the daemon off from all leafs, or heals the cut that holds. One is
+    // cut off at a time.
+    void cut_from_leafs(daemon& node, bool reset);
+    void heal_cut();
     // Replaces all shards by the same number of new ones and publishes that.
     void reshard();
     // Publishes the newest content of the records of these keys again.
@@ -102,6 +109,9 @@
     std::uint64_t version_ = 0;
     std::string table_; // the newest published
     std::uint32_t leaf_count_ = 0;
+    client_cut cut_; // that holds now
+    std::set<std::uint16_t> cut_ports_;
+    boot_time ports_read_at_{};
 };
 
 } // namespace bulrushspring::site
--- a/fakes/site/soak.cpp
+++ b/fakes/site/soak.cpp
@@ -12,6 +12,9 @@
 constexpr seconds recovery_limit{12}; // required by the users
 // How long after an injected fault a daemon may still cause failures.
 constexpr milliseconds settling_time{4000};
+// After this time, callers have to be directed away from a daemon that is cut
+// off from all leafs; directories are asked again within a second.
+constexpr milliseconds cut_grace{5000};
 // bounds.graceS, as site.cpp writes it into the daemons' settings.
 constexpr seconds stop_grace{6};
 // Service has recovered when this many of the last 100 requests succeeded.
@@ -104,7 +107,14 @@
                                             " s after SIGTERM: " + each.name);
             }
         }
-        for (const auto& each : site.leafs) {
+        check_cut();
+        for (auto& each : site.leafs) {
+            if (each.server->arrivals_over_limit() > 0 && !each.over_limit) {
+                each.over_limit = true;
+                report.violations.push_back(
+                    "more requests than the stated limit at leaf " +
+                    each.server->options().id);
+            }
             if (each.server->connections() > site.connection_limit) {
                 report.violations.push_back(
                     "connection limit exceeded at leaf " +
@@ -113,6 +123,31 @@
         }
     }
 
+    // A daemon that has been cut off from the leafs for the users' grace time
+    // must not be named to callers while another one is undisturbed.
+    void check_cut()
+    {
+        const auto now = clock.now();
+        const bool others_serve = std::any_of(
+            site.daemons.begin(), site.daemons.end(), [&](const auto& each) {
+                return each.process > 0 && !each.stopping && !each.paused &&
+                       each.cut_since == boot_time::max() &&
+                       now > each.disturbed_until;
+            });
+        for (const auto number : load.usable()) {
+            auto& each = site.daemons[number];
+            if (others_serve && !each.cut_reported && !each.stopping &&
+                each.cut_since < now - cut_grace &&
+                now > each.disturbed_until) {
+                each.cut_reported = true;
+                report.violations.push_back(
+                    "named to callers " +
+                    std::to_string(to_milliseconds(now - each.cut_since)) +
+                    " ms after it was cut off: " + each.name);
+            }
+        }
+    }
+
     // Marks a daemon as affected by a fault that lasts for `span`.
     void mark_disturbed(daemon& node, duration span = duration{0})
     {
@@ -221,13 +256,50 @@
         schedule(span, [this, number] { resume(site.daemons[number]); });
     }
 
+    // Lets a leaf state a limit, for longer than the users' grace time.
+    void inject_limit()
+    {
+        const auto number = random_index(site.leafs.size());
+        auto& limit = site.leafs[number].server->faults.rate_limit;
+        constexpr double max_limit = 30;
+        limit = 0.5 + max_limit * random_fraction(random);
+        log_fault("limit of " + std::to_string(limit) + " at leaf " +
+                  site.leafs[number].server->options().id);
+        schedule(random_duration(milliseconds{5000}, milliseconds{9000}),
+                 [this, number] {
+                     site.leafs[number].server->faults.rate_limit = 0;
+                 });
+    }
+
+    // Cuts a daemon off from all leafs, while callers, store and peers reach
+    // it.
+    void inject_cut()
+    {
+        auto& node = site.daemons[random_index(site.daemons.size())];
+        const bool cut_holds = std::any_of(
+            site.daemons.begin(), site.daemons.end(), [](const auto& each) {
+                return each.cut_since != boot_time::max();
+            });
+        if (cut_holds || node.process < 0) {
+            return;
+        }
+        const bool reset = random_index(2) == 0;
+        log_fault(node.name + (reset ? " cut off from the leafs, reset"
+                                     : " cut off from the leafs, silent"));
+        site.cut_from_leafs(node, reset);
+        schedule(random_duration(milliseconds{1000}, milliseconds{9000}),
+                 [this] { site.heal_cut(); });
+    }
+
     // Each kind but the last sets the share of one fault; the last one makes
     // the leaf slow.
     void inject_leaf_fault()
     {
         const auto number = random_index(site.leafs.size());
         auto& faults = site.leafs[number].server->faults;
+        const auto rate_limit = faults.rate_limit;
         faults = {};
+        faults.rate_limit = rate_limit;
         const std::array<double*, 5> shares = {&faults.refuse, &faults.lose,
                                                &faults.fail, &faults.truncate,
                                                &faults.repeat};
@@ -240,7 +312,12 @@
         log_fault("fault at leaf " + site.leafs[number].server->options().id +
                   ", kind " + std::to_string(kind));
         schedule(random_duration(milliseconds{1000}, milliseconds{4000}),
-                 [this, number] { site.leafs[number].server->faults = {}; });
+                 [this, number] {
+                     auto& ended = site.leafs[number].server->faults;
+                     const auto limit = ended.rate_limit;
+                     ended = {};
+                     ended.rate_limit = limit;
+                 });
     }
 
     // Kind 0 resets the connections; the others set a condition for a while.
@@ -316,7 +393,7 @@
 
     void inject_fault()
     {
-        switch (random_index(8)) {
+        switch (random_index(10)) {
         case 0:
         case 1:
             stop_or_kill();
@@ -343,6 +420,12 @@
             }
             return;
         }
+        case 7:
+            inject_limit();
+            return;
+        case 8:
+            inject_cut();
+            return;
         default:
             change_configuration();
         }
@@ -366,6 +449,7 @@
     void clear_faults()
     {
         log_fault("clear all faults");
+        site.heal_cut();
         for (auto& each : site.leafs) {
             each.server->faults = {};
             each.link->set_condition(link_condition::normal);
