gateway: Log an unreadable limit of a leaf once

Found by rereading: a leaf that states a limit which can't be read with each answer had a line (E8022, readable=0) written for each of them. an_unreadable_limit_keeps_the_earlier_one counts the lines now; it was not run without the change.

--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -318,11 +318,14 @@
                           const leaf_reply& reply, boot_time sent_at,
                           context& context)
 {
+    const bool unreadable = reply.rate.present && !reply.rate.per_second;
+    if (unreadable && !leaf.rate_unreadable) {
+        log_rate(leaf, false, context);
+    }
+    leaf.rate_unreadable = unreadable;
     if (reply.rate.per_second) {
         set_rate_limit(pool, leaf, reply.rate.per_second, context.now, context);
-    } else if (reply.rate.present) {
-        log_rate(leaf, false, context);
-    } else if (leaf.rate_limit && !reply.signature.empty() &&
+    } else if (!unreadable && leaf.rate_limit && !reply.signature.empty() &&
                sent_at > leaf.rate_stated_at) {
         // Earlier requests may be answered out of order.
         set_rate_limit(pool, leaf, std::nullopt, context.now, context);
--- a/tests/gateway/leaf_limit_test.cpp
+++ b/tests/gateway/leaf_limit_test.cpp
@@ -181,8 +181,23 @@
     garbled.status = 200;
     garbled.signature = "seal";
     garbled.rate = {true, std::nullopt};
+    shared.clear();
     feed(leaf_replied{sent[0].connection, garbled, true});
     BOOST_TEST(state.pool.leafs.at("one-0").rate_limit.value_or(-1) == 10.0);
+    // Said once, not with each answer.
+    advance(milliseconds{300});
+    send_request("/s/x");
+    advance(milliseconds{300});
+    for (const auto& each : take<send_to_leaf>()) {
+        feed(leaf_replied{each.connection, garbled, true});
+    }
+    const auto logged =
+        std::count_if(shared.begin(), shared.end(), [](const auto& each) {
+            const auto* line = std::get_if<write_log>(&each);
+            return line != nullptr &&
+                   line->record.definition->name == "leaf_rate_stated";
+        });
+    BOOST_TEST(logged == 1);
 }
 
 // A limit of 0 is kept, but a request now and then tells whether it still
