--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -106,7 +106,7 @@
     std::optional<double> rate_limit;
     boot_time rate_stated_at{};
     bool rate_unreadable = false; // its last statement, which is logged once
-    rate_gate rate; // this daemon's part, while there is a limit
+    rate_gate rate;               // this daemon's part, while there is a limit
     // Moving average of observed over expected latency; 1 is as expected.
     double latency_ratio = 1.0;
     boot_time sampled_at{};
