gateway: Count resets without an answer as silence again

Unanswered attempts count from 1.3 s on, and connections that ended without an answer within the last 1.5 s count again; older ones still don't, which keeps the test of the false alarm green.

--- a/libraries/gateway/reach.cpp
+++ b/libraries/gateway/reach.cpp
@@ -71,12 +71,12 @@
                        });
 }
 
-std::size_t count_failed_connects(const reach_state& reach,
-                                  std::span<leaf_state* const> leafs)
+std::size_t count_failed_connects(std::span<leaf_state* const> leafs,
+                                  boot_time since)
 {
     return static_cast<std::size_t>(
         std::count_if(leafs.begin(), leafs.end(), [&](const auto* leaf) {
-            return leaf->connection_failed_at > reach.contact_at;
+            return leaf->connection_failed_at > since;
         }));
 }
 
@@ -145,10 +145,15 @@
         reach.contact_at < reach.doubt_since &&
         reach.doubt_since != boot_time::max() &&
         step.context.now - reach.doubt_since >= settings.check_time &&
-        count_failed_connects(reach, leafs) >= expected(settings.checked_leafs);
+        count_failed_connects(leafs, reach.contact_at) >=
+            expected(settings.checked_leafs);
+    const auto now = step.context.now;
+    const auto recently =
+        std::max(reach.answered_at, now - settings.silent_after);
     found.silent =
-        step.context.now - reach.answered_at >= settings.silent_after &&
-        count_silent_leafs(step, settings.silent_after, reach.answered_at) >=
+        now - reach.answered_at >= settings.silent_after &&
+        count_silent_leafs(step, settings.unanswered_after, reach.answered_at) +
+                count_failed_connects(leafs, recently) >=
             expected(settings.silent_leafs);
     return found;
 }
@@ -189,7 +194,8 @@
             path_doubted,
             field("silent_ms", to_milliseconds(now - reach.answered_at)),
             field("connects_fail", found.connects_fail ? 1 : 0),
-            field("failed_connects", count_failed_connects(reach, leafs)),
+            field("failed_connects",
+                  count_failed_connects(leafs, reach.contact_at)),
             field("leafs", leafs.size())));
         ask_peers(reach, step, live);
     }
--- a/libraries/gateway/reach.hpp
+++ b/libraries/gateway/reach.hpp
@@ -24,6 +24,7 @@
     duration next_doubt_after = milliseconds{1000};
     // The same, when leafs accept connections but answer nothing on them.
     duration silent_after = milliseconds{1500};
+    duration unanswered_after = milliseconds{1300}; // of one attempt
     duration review_interval = milliseconds{100};
     duration idle_review_interval = milliseconds{250};
     // A connection counts as contact from this age on: it may be reset at once.
