gateway: Share the plumbing of gossip, ages and decay; split long files

No decision changes.

- rate_spread.cpp had the sending of poison/spread.cpp again: both now use membership/gossip_sender.hpp, with one set of options.
- Ages in messages were computed three times: wire::age_of and time_of.
- Exponential decay was written a fourth time: limits::decay_factor.
(The one in targets/choice.cpp stays: it has a cut-off of its own.)
- The token bucket served three libraries from membership/: now in limits/.
- 'part' of a rate collides with the parts of a request, 'slot' with the slots of a leaf: now share, owner and permit; field share in E8022.

Measured: test_gateway, poison, wire, membership, experiment and limits pass.

--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -1,8 +1,10 @@
 #include "libraries/gateway/attempts.hpp"
 
 #include "libraries/gateway/answers.hpp"
+#include "libraries/gateway/availability.hpp"
 #include "libraries/gateway/crash_watch.hpp"
 #include "libraries/gateway/events.hpp"
+#include "libraries/gateway/leaf_rates.hpp"
 #include "libraries/gateway/leaf_statistics.hpp"
 
 #include <algorithm>
@@ -171,56 +173,6 @@
                   budget, step.state.settings.budget, step.context.now)))));
 }
 
-// Whether no leaf of the part's service accepts requests before `latest`.
-// `available` is when one does.
-bool is_unavailable(exchange_step& step, exchange& exchange,
-                    const request_part& part, boot_time available,
-                    boot_time latest)
-{
-    const auto now = step.context.now;
-    if (available <= latest) {
-        return false;
-    }
-    exchange.unavailable_until =
-        std::max(exchange.unavailable_until, available);
-    step.context.log(
-        make_record(part_unavailable, field("request", exchange.request->id),
-                    field("service", part.service),
-                    field("for_ms", available == boot_time::max()
-                                        ? -1
-                                        : to_milliseconds(available - now))));
-    return true;
-}
-
-// The parts of this service that wait for a leaf.
-std::size_t count_waiting(const exchange_step& step, const std::string& service)
-{
-    std::size_t waiting = 0;
-    for (const auto& [token, exchange] : step.state.exchanges) {
-        waiting += static_cast<std::size_t>(std::count_if(
-            exchange.parts.begin(), exchange.parts.end(),
-            [&](const auto& each) {
-                return each.phase == part_phase::open &&
-                       each.outstanding.empty() && each.service == service;
-            }));
-    }
-    return waiting;
-}
-
-// When the stated rates of the service's leafs allow this new part, after those
-// that wait already.
-boot_time rate_available_at(const exchange_step& step, const request_part& part)
-{
-    const auto now = step.context.now;
-    const auto first =
-        gateway::rate_available_at(step.pool, part.service, 0, now);
-    if (first <= now) {
-        return now;
-    }
-    const auto ahead = count_waiting(step, part.service) - 1; // without itself
-    return gateway::rate_available_at(step.pool, part.service, ahead, now);
-}
-
 // Schedules a retry, or fails the part if no leaf can take it any more.
 void retry_later_or_fail(exchange_step& step, exchange& exchange,
                          request_part& part)
@@ -229,9 +181,7 @@
         part.tried.begin(), part.tried.end(),
         [&](const auto& each) { return may_retry_at(exchange, part, each); });
     if ((leaf_limit_reached(exchange, part) && !repeatable) ||
-        is_unavailable(step, exchange, part,
-                       available_at(step.pool, part.service, step.context.now),
-                       exchange.answer_by)) {
+        is_unavailable(step, exchange, part)) {
         fail_part(exchange, part);
         return;
     }
@@ -408,24 +358,6 @@
     ++exchange.failed;
 }
 
-void fail_unavailable_parts(exchange_step& step, exchange& exchange)
-{
-    const auto in_time =
-        std::min(exchange.objective_deadline, exchange.answer_by);
-    for (auto& part : exchange.parts) {
-        if (part.phase != part_phase::open) {
-            continue;
-        }
-        const auto leaf =
-            available_at(step.pool, part.service, step.context.now);
-        const auto rate = rate_available_at(step, part);
-        if (is_unavailable(step, exchange, part, leaf, exchange.answer_by) ||
-            is_unavailable(step, exchange, part, rate, in_time)) {
-            fail_part(exchange, part);
-        }
-    }
-}
-
 bool awaits_answer(const exchange_step& step, const request_part& part)
 {
     return std::any_of(
@@ -433,16 +365,6 @@
         [&](auto id) { return step.state.attempts.at(raw(id)).sent; });
 }
 
-bool may_be_in_time(const exchange_step& step, const exchange& exchange,
-                    const request_part& part)
-{
-    const auto now = step.context.now;
-    return awaits_answer(step, part) ||
-           (!is_unreachable(step.pool, part.service, now) &&
-            available_at(step.pool, part.service, now) <
-                exchange.objective_deadline);
-}
-
 void abandon_part_attempts(exchange_step& step, exchange& exchange,
                            request_part& part, bool caller_disconnected)
 {
--- a/libraries/gateway/attempts.hpp
+++ b/libraries/gateway/attempts.hpp
@@ -16,17 +16,9 @@
 // Gives up an open part: the exchange is answered without it, if at all.
 void fail_part(exchange&, request_part&);
 
-// Fails the open parts whose services have no leaf that accepts requests before
-// the exchange has to be answered.
-void fail_unavailable_parts(exchange_step&, exchange&);
-
 // Whether an outstanding attempt of the part was sent.
 bool awaits_answer(const exchange_step&, const request_part&);
 
-// Whether an open part may still be answered within the objective: it was sent
-// to a leaf, or may reach one in that time.
-bool may_be_in_time(const exchange_step&, const exchange&, const request_part&);
-
 // Abandons the outstanding attempts of the exchange, or of one part. Attempts
 // not sent yet are cancelled; answers to the others are still read, so that
 // their connections can be reused. If the caller has left and the route is
--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -106,10 +106,10 @@
     "again."};
 inline constexpr event_definition leaf_rate_stated{
     8022, severity::warning, "leaf_rate_stated",
-    "leaf service per_second part readable",
+    "leaf service per_second share readable",
     "A leaf has begun to state how many requests a second it takes from all "
     "daemons together, or states another number. per_second=-1: it states "
-    "none any more. `part` is what this daemon may send it. With readable=0 "
+    "none any more. `share` is what this daemon may send it. With readable=0 "
     "its last statement was not a number, and the earlier one still holds."};
 inline constexpr event_definition path_doubted{
     8023, severity::warning, "path_doubted",
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -3,9 +3,11 @@
 #include "libraries/gateway/answer_log.hpp"
 #include "libraries/gateway/answers.hpp"
 #include "libraries/gateway/attempts.hpp"
+#include "libraries/gateway/availability.hpp"
 #include "libraries/gateway/crash_watch.hpp"
 #include "libraries/gateway/deadlines.hpp"
 #include "libraries/gateway/events.hpp"
+#include "libraries/gateway/leaf_rates.hpp"
 #include "libraries/gateway/leaf_statistics.hpp"
 #include "libraries/gateway/query_admission.hpp"
 
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -1,7 +1,7 @@
 #include "libraries/gateway/gateway.hpp"
 
-#include "libraries/configuration/readers.hpp"
 #include "libraries/gateway/events.hpp"
+#include "libraries/gateway/fleet.hpp"
 #include "libraries/gateway/planned_stop.hpp"
 
 #include <algorithm>
@@ -16,141 +16,6 @@
     return {self.exchanges, self.pool, context};
 }
 
-constexpr milliseconds store_role_interval{200};
-
-// Determines this daemon's role in reading the store. A daemon without any
-// records lists the store at once, independently of other readers. One that
-// has heard of no peer for a while, or learns no routes from its peers, reads
-// the store itself. Differing views of the fleet only cause additional
-// readers.
-topology::store_role store_role_of(const state& self, boot_time now)
-{
-    const bool knows_routes = self.topology.table != nullptr;
-    const bool awaiting_peers = now - self.started < self.settings.peer_timeout;
-    if ((!knows_routes && !self.topology.listed) || self.members.isolated) {
-        return topology::store_role::leader;
-    }
-    if (!membership::joined(self.members)) {
-        return awaiting_peers ? topology::store_role::none
-                              : topology::store_role::leader;
-    }
-    const configuration::peers fleet{membership::view_of(self.members).members,
-                                     membership::self_of(self.members)};
-    const auto review =
-        configuration::select_readers(fleet, self.settings.readers);
-    if (!review.reading && knows_routes &&
-        !topology::peers_follow_era(self.topology, now)) {
-        return topology::store_role::follower;
-    }
-    if (!review.reading) {
-        return knows_routes || awaiting_peers ? topology::store_role::none
-                                              : topology::store_role::leader;
-    }
-    return review.readers.front() == fleet.self.name
-               ? topology::store_role::leader
-               : topology::store_role::follower;
-}
-
-void update_store_role(state& self, boot_time now)
-{
-    if (now < self.store_role_due_at) {
-        return;
-    }
-    self.store_role_due_at = now + store_role_interval;
-    topology::set_role(self.topology, store_role_of(self, now), now);
-}
-
-// Updates the counts of the fleet, which never decrease: a daemon that is
-// not heard of may still hold connections and spend its share of the budget.
-void update_fleet_summary(state& self, boot_time now)
-{
-    const auto& view = membership::view_of(self.members);
-    auto& fleet = self.pool.fleet;
-    fleet.known = membership::joined(self.members) ||
-                  now - self.started >= self.settings.peer_timeout;
-    fleet.recently_started =
-        now - self.started < self.settings.fleet_discovery_time;
-    if (view.generation == self.fleet_generation) {
-        return;
-    }
-    self.fleet_generation = view.generation;
-    const auto& live = view.members;
-    fleet.largest_capacity =
-        std::max(fleet.largest_capacity, largest_capacity(live));
-    std::size_t near = 0;
-    std::size_t large = 0;
-    for (const auto& member : live) {
-        near += member.data_centre == self.pool.data_centre ? 1 : 0;
-        large += is_large(self.settings.serving, member, fleet.largest_capacity)
-                     ? 1
-                     : 0;
-    }
-    fleet.size = std::max(fleet.size, live.size());
-    fleet.near = std::max(fleet.near, near);
-    fleet.large = std::max(fleet.large, large);
-    fleet.self_is_large =
-        is_large(self.settings.serving, membership::self_of(self.members),
-                 fleet.largest_capacity);
-}
-
-// The daemons that callers can reach. An isolated daemon includes members that
-// it suspects to be dead: callers may reach those that it can't.
-std::vector<wire::member_record> reachable_members(const state& self)
-{
-    auto live = membership::view_of(self.members).members;
-    const auto& own = membership::self_of(self.members).name;
-    std::erase_if(live, [&](const auto& member) {
-        return member.name == own
-                   ? self.stop_requested_at.has_value()
-                   : member.status != wire::member_status::alive &&
-                         !self.members.isolated;
-    });
-    const auto is_cut_off = [](const auto& member) { return member.cut_off; };
-    if (!std::all_of(live.begin(), live.end(), is_cut_off)) {
-        std::erase_if(live, is_cut_off);
-    }
-    return live;
-}
-
-void update_serving_set(state& self, boot_time now)
-{
-    review(self.serving, self.settings.serving, reachable_members(self), now);
-    self.pool.fleet.self_serves =
-        serves(self.serving, membership::self_of(self.members).name);
-}
-
-void update_serving_set_if_due(state& self, boot_time now)
-{
-    if (self.serving.reviewed_at == boot_time::min() ||
-        now - self.serving.reviewed_at >=
-            self.settings.serving.review_interval) {
-        update_serving_set(self, now);
-        update_rate_parts(
-            self.pool, self.serving.members,
-            membership::view_of(self.members).members.size(),
-            self.pool.fleet.known && !self.pool.fleet.recently_started, now);
-    }
-}
-
-// Sets this daemon's share of the site's retry budget. Large daemons divide
-// the greater part, since they serve the callers. A daemon that does not know
-// its fleet yet takes none, and one that has just started takes less: its
-// previous incarnation may have spent some in the same window.
-void update_budget(state& self, boot_time now)
-{
-    auto& limits = self.exchanges.settings.budget;
-    if (!membership::joined(self.members)) {
-        limits.slack = 0;
-        return;
-    }
-    const double age = static_cast<double>((now - self.started).count()) /
-                       static_cast<double>(limits.window.count());
-    limits.slack =
-        self.settings.budget_slack * self.settings.budget_share *
-        std::min(age, 1.0) *
-        daemon_share(self.pool.fleet, self.settings.large_slack_share);
-}
-
 void activate_table(state& self, context& context)
 {
     self.table = std::exchange(self.pending_table, nullptr);
@@ -426,8 +291,9 @@
     self.topology.settings = settings.topology;
     self.load.settings = settings.load;
     self.reach.settings = settings.reach;
-    self.rates.settings = settings.rates;
+    self.rates.sender.settings = settings.rates;
     self.spread.settings = settings.spread;
+    self.spread.sender.settings = settings.spread.gossip;
     self.members.settings = settings.membership;
     self.members.seeds = event.seeds;
     self.exchanges.settings = settings.exchanges;
@@ -486,7 +352,8 @@
     made.load.settings = settings.load;
     made.random = random_source{self.incarnation + 3};
     made.exchanges.settings = settings.exchanges;
-    made.rates = make_rate_spread(settings.rates, self.incarnation + 6, now);
+    made.rates.sender = membership::make_gossip_sender(
+        settings.rates, self.incarnation + 6, now);
     made.reach = make_reach(settings.reach, self.incarnation + 5, now);
     made.spread =
         poison::make_spread(settings.spread, self.incarnation + 4, now);
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -26,7 +26,7 @@
     entry_options entries;
     load_options load;
     reach_options reach;
-    rate_spread_options rates;
+    membership::gossip_options rates; // gossip of what leafs state
     poison::spread_options spread;
     // Processor share of this VM, in thousandths of a core; 0: unknown.
     std::uint32_t capacity = 0;
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "libraries/gateway/connection_quota.hpp"
 #include "libraries/gateway/events.hpp"
+#include "libraries/gateway/leaf_rates.hpp"
 #include "libraries/gateway/leaf_statistics.hpp"
 
 #include <algorithm>
@@ -61,38 +62,12 @@
     return cost;
 }
 
-// The ids of a service's leafs; none if the service is not known.
-std::span<const std::string> leafs_of(const leaf_pool& pool,
-                                      const std::string& service)
-{
-    const auto found = pool.by_service.find(service);
-    return found == pool.by_service.end()
-               ? std::span<const std::string>{}
-               : std::span<const std::string>{found->second};
-}
-
-// The earliest time at which the leaf's stated rate allows a request of this
-// daemon.
-boot_time rate_admits_at(const leaf_state& leaf, boot_time now)
-{
-    return leaf.rate_limit ? admits_at(leaf.rate, now) : now;
-}
-
-void log_rate(const leaf_state& leaf, bool readable, context& context)
-{
-    context.log(make_record(leaf_rate_stated, field("leaf", leaf.published.id),
-                            field("service", leaf.published.service),
-                            field("per_second", leaf.rate_limit.value_or(-1.0)),
-                            field("part", leaf.rate.part.per_second),
-                            field("readable", readable ? 1 : 0)));
-}
-
 bool can_take_request(const leaf_pool& pool, const leaf_state& leaf,
                       boot_time now)
 {
     return usable(pool, leaf, now) && accepts_requests(leaf, now) &&
            limits::admits(leaf.limit, leaf.in_flight, now) &&
-           rate_admits_at(leaf, now) <= now &&
+           rate_admits(leaf, now) &&
            (!leaf.idle.empty() ||
             (now >= leaf.backoff_until &&
              leaf.connections < connection_quota(pool, leaf, now)));
@@ -262,7 +237,7 @@
         const auto& leaf = pool.leafs.at(id);
         return usable(pool, leaf, now) && accepts_requests(leaf, now) &&
                limits::admits(leaf.limit, leaf.in_flight, now) &&
-               rate_admits_at(leaf, now) <= now;
+               rate_admits(leaf, now);
     });
 }
 
@@ -303,55 +278,6 @@
     return !leaf.leaving && now >= leaf.paused_until;
 }
 
-namespace
-{
-
-void set_rate_part(leaf_pool& pool, leaf_state& leaf, boot_time now)
-{
-    set_part(leaf.rate,
-             part_of(pool.sharers, pool.name, leaf.published.id,
-                     std::max(*leaf.rate_limit, pool.settings.min_rate_limit)),
-             pool.random, now);
-}
-
-void apply_rate_statement(leaf_pool& pool, leaf_state& leaf,
-                          const leaf_reply& reply, boot_time sent_at,
-                          context& context)
-{
-    const bool unreadable = reply.rate.present && !reply.rate.per_second;
-    if (unreadable && !leaf.rate_unreadable) {
-        log_rate(leaf, false, context);
-    }
-    leaf.rate_unreadable = unreadable;
-    if (reply.rate.per_second) {
-        set_rate_limit(pool, leaf, reply.rate.per_second, context.now, context);
-    } else if (!unreadable && leaf.rate_limit && !reply.signature.empty() &&
-               sent_at > leaf.rate_stated_at) {
-        // Earlier requests may be answered out of order.
-        set_rate_limit(pool, leaf, std::nullopt, context.now, context);
-    }
-}
-
-} // namespace
-
-void set_rate_limit(leaf_pool& pool, leaf_state& leaf,
-                    std::optional<double> limit, boot_time stated_at,
-                    context& context)
-{
-    leaf.rate_stated_at = stated_at;
-    if (leaf.rate_limit == limit) {
-        return;
-    }
-    leaf.rate_limit = limit;
-    if (limit) {
-        set_rate_part(pool, leaf, context.now);
-    } else {
-        leaf.rate = {};
-    }
-    log_rate(leaf, true, context);
-    pool.changed_rates.push_back(leaf.published.id);
-}
-
 void apply_leaf_state(leaf_pool& pool, connection_id id,
                       const leaf_reply& reply, boot_time sent_at,
                       context& context)
@@ -379,61 +305,6 @@
     apply_rate_statement(pool, leaf, reply, sent_at, context);
 }
 
-bool rate_admits(const leaf_state& leaf, boot_time now)
-{
-    return rate_admits_at(leaf, now) <= now;
-}
-
-void count_request(leaf_pool& pool, leaf_state& leaf, boot_time now)
-{
-    if (leaf.rate_limit) {
-        gateway::count_request(leaf.rate, pool.random, now);
-    }
-}
-
-boot_time rate_available_at(const leaf_pool& pool, const std::string& service,
-                            std::size_t ahead, boot_time now)
-{
-    boot_time first = boot_time::max();
-    double per_second = 0;
-    double tokens = 0;
-    bool limited = false;
-    for (const auto& id : leafs_of(pool, service)) {
-        const auto& leaf = pool.leafs.at(id);
-        if (!usable(pool, leaf, now) || !accepts_requests(leaf, now)) {
-            continue;
-        }
-        if (!leaf.rate_limit) {
-            return now;
-        }
-        limited = true;
-        first = std::min(first, rate_admits_at(leaf, now));
-        if (leaf.rate.part.holder) {
-            per_second += leaf.rate.part.per_second;
-            tokens += membership::available(leaf.rate.bucket, now);
-        }
-    }
-    const auto needed = static_cast<double>(ahead) + 1.0 - tokens;
-    if (!limited || ahead == 0 || needed <= 0 || per_second <= 0) {
-        return limited ? first : now;
-    }
-    const std::chrono::duration<double> wait{needed / per_second};
-    return std::max(first, now + std::chrono::duration_cast<duration>(wait));
-}
-
-void update_rate_parts(leaf_pool& pool,
-                       std::span<const wire::member_record> serving,
-                       std::size_t fleet_size, bool known, boot_time now)
-{
-    update(pool.sharers, serving, fleet_size, known, now);
-    for (auto& [id, leaf] : pool.leafs) {
-        if (leaf.rate_limit) {
-            set_rate_part(pool, leaf, now);
-            renew_slot(leaf.rate, pool.random, now);
-        }
-    }
-}
-
 boot_time available_at(const leaf_pool& pool, const std::string& service,
                        boot_time now)
 {
@@ -570,6 +441,15 @@
         });
 }
 
+std::span<const std::string> leafs_of(const leaf_pool& pool,
+                                      const std::string& service)
+{
+    const auto found = pool.by_service.find(service);
+    return found == pool.by_service.end()
+               ? std::span<const std::string>{}
+               : std::span<const std::string>{found->second};
+}
+
 leaf_state* find_leaf(leaf_pool& pool, const std::string& id)
 {
     const auto found = pool.leafs.find(id);
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -209,27 +209,6 @@
 void apply_leaf_state(leaf_pool&, connection_id, const leaf_reply&,
                       boot_time sent_at, context&);
 
-// Whether the leaf's stated rate allows a request of this daemon now.
-bool rate_admits(const leaf_state&, boot_time now);
-
-// Adopts a rate that the leaf has stated, or that it states none any more, and
-// notes a change for other daemons.
-void set_rate_limit(leaf_pool&, leaf_state&, std::optional<double> limit,
-                    boot_time stated_at, context&);
-
-// Counts a request that is sent to a leaf against its stated rate.
-void count_request(leaf_pool&, leaf_state&, boot_time now);
-
-// When the stated rates of the service's leafs allow a request of this daemon
-// for which `ahead` others wait already: `now` if one of them has stated none;
-// boot_time::max() if no time is known.
-boot_time rate_available_at(const leaf_pool&, const std::string& service,
-                            std::size_t ahead, boot_time now);
-
-// Adopts the present members, which divide the rates that leafs have stated.
-void update_rate_parts(leaf_pool&, std::span<const wire::member_record> serving,
-                       std::size_t fleet_size, bool known, boot_time now);
-
 // The earliest time at which a leaf of the service may be sent a request:
 // `now` if one accepts requests, although it may be busy; the end of the
 // backoff for a leaf without a connection; boot_time::max() if there is no
@@ -268,6 +247,10 @@
 
 leaf_state* find_leaf(leaf_pool&, const std::string& id);
 
+// The ids of a service's leafs; none if the service is not known.
+std::span<const std::string> leafs_of(const leaf_pool&,
+                                      const std::string& service);
+
 // Opens the first connections to leafs without any, closes idle connections
 // shortly before the leaf would, aborts connects that time out, and erases
 // unused leafs that are no longer published.
--- a/libraries/gateway/leaf_statistics.cpp
+++ b/libraries/gateway/leaf_statistics.cpp
@@ -1,7 +1,8 @@
 #include "libraries/gateway/leaf_statistics.hpp"
 
+#include "libraries/limits/decay.hpp"
+
 #include <algorithm>
-#include <cmath>
 
 namespace bulrushspring::gateway
 {
@@ -11,27 +12,21 @@
 constexpr double min_latency_ratio = 0.2;
 constexpr double max_latency_ratio = 30.0;
 
-double decayed(double value, boot_time since, boot_time now, duration half_life)
-{
-    const double halvings = static_cast<double>((now - since).count()) /
-                            static_cast<double>(half_life.count());
-    return value * std::exp2(-halvings);
-}
-
 } // namespace
 
 double latency_ratio_at(const pool_options& settings, const leaf_state& leaf,
                         boot_time now)
 {
-    return 1.0 + decayed(leaf.latency_ratio - 1.0, leaf.sampled_at, now,
-                         settings.latency_half_life);
+    return 1.0 + (leaf.latency_ratio - 1.0) *
+                     limits::decay_factor(now - leaf.sampled_at,
+                                          settings.latency_half_life);
 }
 
 double refusal_rate_at(const pool_options& settings, const leaf_state& leaf,
                        boot_time now)
 {
-    return decayed(leaf.refusal_rate, leaf.refusals_at, now,
-                   settings.refusal_half_life);
+    return leaf.refusal_rate * limits::decay_factor(now - leaf.refusals_at,
+                                                    settings.refusal_half_life);
 }
 
 void update_latency_ratio(leaf_state& leaf, duration seen, duration expected,
--- a/libraries/gateway/load.cpp
+++ b/libraries/gateway/load.cpp
@@ -1,7 +1,8 @@
 #include "libraries/gateway/load.hpp"
 
+#include "libraries/limits/decay.hpp"
+
 #include <algorithm>
-#include <cmath>
 
 namespace bulrushspring::gateway
 {
@@ -11,9 +12,7 @@
     const auto& settings = load.settings;
     const auto step = std::min(now - load.sampled_at, settings.max_step);
     load.sampled_at = now;
-    const double kept =
-        std::exp2(-static_cast<double>(step.count()) /
-                  static_cast<double>(settings.half_life.count()));
+    const double kept = limits::decay_factor(step, settings.half_life);
     const auto sample =
         static_cast<double>(std::min(lag, settings.max_lag).count());
     load.lag = kept * load.lag + (1.0 - kept) * sample;
--- a/libraries/gateway/query_admission.cpp
+++ b/libraries/gateway/query_admission.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/gateway/answers.hpp"
 #include "libraries/gateway/attempts.hpp"
+#include "libraries/gateway/leaf_rates.hpp"
 
 #include <algorithm>
 
--- a/libraries/gateway/rate_share.cpp
+++ b/libraries/gateway/rate_share.cpp
@@ -1,6 +1,7 @@
 #include "libraries/gateway/rate_share.hpp"
 
 #include "base/hash.hpp"
+#include "libraries/limits/decay.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -11,10 +12,10 @@
 {
 
 constexpr seconds count_half_life{60};
-constexpr double min_rate_of_holder = 1.0; // requests a second
-constexpr double reserve_share = 0.1;      // of the other daemons together
+constexpr double min_rate_of_owner = 1.0; // requests a second
+constexpr double reserve_share = 0.1;     // of the other daemons together
 constexpr std::chrono::duration<double> max_burst_time{0.1};
-constexpr seconds slot_validity{1};
+constexpr seconds permit_validity{1};
 // The longest wait for a request, so that times stay in range.
 constexpr std::chrono::duration<double> max_wait = std::chrono::hours{24};
 
@@ -23,9 +24,9 @@
     return stable_hash(daemon, leaf);
 }
 
-// Whether the daemon is among the first `holders` in the leaf's order.
-bool is_holder(const rate_sharers& sharers, std::string_view daemon,
-               std::string_view leaf, double holders)
+// Whether the daemon is among the first `owners` in the leaf's order.
+bool is_owner(const rate_sharers& sharers, std::string_view daemon,
+              std::string_view leaf, double owners)
 {
     const auto seed = stable_hash(leaf);
     const auto own = rank_of(daemon, seed);
@@ -35,7 +36,7 @@
         serves = serves || each == daemon;
         before += rank_of(each, seed) < own ? 1 : 0;
     }
-    return serves && before < holders;
+    return serves && before < owners;
 }
 
 duration to_duration(std::chrono::duration<double> span)
@@ -43,22 +44,22 @@
     return std::chrono::duration_cast<duration>(span);
 }
 
-bool slot_is_open(const rate_gate& gate, boot_time now)
+bool permit_is_valid(const rate_gate& gate, boot_time now)
 {
-    return now >= gate.slot_at && now < gate.slot_at + slot_validity;
+    return now >= gate.permit_at && now < gate.permit_at + permit_validity;
 }
 
-// Draws the time of the next slot: exponentially distributed, so that the slots
-// of different daemons are independent of when they heard of the limit.
-void draw_slot(rate_gate& gate, random_source& random, boot_time now)
+// Draws the time of the next permit: exponentially distributed, so that the
+// permits of different daemons are independent of when they heard of the limit.
+void draw_permit(rate_gate& gate, random_source& random, boot_time now)
 {
-    if (gate.part.per_second <= 0) {
-        gate.slot_at = boot_time::max();
+    if (gate.share.per_second <= 0) {
+        gate.permit_at = boot_time::max();
         return;
     }
     const std::chrono::duration<double> wait{
-        -std::log1p(-random_fraction(random)) / gate.part.per_second};
-    gate.slot_at = now + to_duration(std::min(wait, max_wait));
+        -std::log1p(-random_fraction(random)) / gate.share.per_second};
+    gate.permit_at = now + to_duration(std::min(wait, max_wait));
 }
 
 } // namespace
@@ -66,9 +67,8 @@
 void update(rate_sharers& sharers, std::span<const wire::member_record> serving,
             std::size_t fleet_size, bool known, boot_time now)
 {
-    const auto passed = static_cast<double>((now - sharers.counted_at).count());
-    const double kept = std::exp2(
-        -passed / static_cast<double>(duration{count_half_life}.count()));
+    const double kept =
+        limits::decay_factor(now - sharers.counted_at, count_half_life);
     sharers.counted_at = now;
     sharers.known = known;
     sharers.serving.clear();
@@ -82,80 +82,79 @@
     remember(sharers.fleet_count, fleet_size);
 }
 
-rate_part part_of(const rate_sharers& sharers, std::string_view daemon,
-                  std::string_view leaf, double limit)
+rate_share share_of(const rate_sharers& sharers, std::string_view daemon,
+                    std::string_view leaf, double limit)
 {
     if (!sharers.known) {
         return {};
     }
-    const double holders = std::clamp(std::floor(limit / min_rate_of_holder),
-                                      1.0, std::ceil(sharers.serving_count));
-    const double others = std::ceil(sharers.fleet_count) - holders;
+    const double owners = std::clamp(std::floor(limit / min_rate_of_owner), 1.0,
+                                     std::ceil(sharers.serving_count));
+    const double others = std::ceil(sharers.fleet_count) - owners;
     const double reserve = others >= 1.0 ? limit * reserve_share : 0.0;
-    if (is_holder(sharers, daemon, leaf, holders)) {
-        return {(limit - reserve) / holders, true};
+    if (is_owner(sharers, daemon, leaf, owners)) {
+        return {(limit - reserve) / owners, true};
     }
     return {others >= 1.0 ? reserve / others : 0.0, false};
 }
 
-void set_part(rate_gate& gate, const rate_part& part, random_source& random,
-              boot_time now)
+void set_share(rate_gate& gate, const rate_share& share, random_source& random,
+               boot_time now)
 {
-    const bool changed = gate.part.holder != part.holder ||
-                         gate.part.per_second != part.per_second;
+    const bool changed = gate.share.owner != share.owner ||
+                         gate.share.per_second != share.per_second;
     if (!changed) {
         return;
     }
-    const bool was_holder = gate.part.holder;
-    const double tokens =
-        was_holder ? membership::refill(gate.bucket, now) : 0.0;
-    gate.part = part;
-    if (part.holder) {
-        gate.bucket = membership::make_bucket(
-            part.per_second,
-            std::max(1.0, part.per_second * max_burst_time.count()), now);
+    const bool was_owner = gate.share.owner;
+    const double tokens = was_owner ? limits::refill(gate.bucket, now) : 0.0;
+    gate.share = share;
+    if (share.owner) {
+        gate.bucket = limits::make_bucket(
+            share.per_second,
+            std::max(1.0, share.per_second * max_burst_time.count()), now);
         gate.bucket.tokens = std::min(tokens, gate.bucket.capacity);
     } else {
-        draw_slot(gate, random, now);
+        draw_permit(gate, random, now);
     }
 }
 
 boot_time admits_at(const rate_gate& gate, boot_time now)
 {
-    if (gate.part.per_second <= 0) {
+    if (gate.share.per_second <= 0) {
         return boot_time::max();
     }
     const auto after = [&](double requests) {
         const std::chrono::duration<double> wait{requests /
-                                                 gate.part.per_second};
+                                                 gate.share.per_second};
         return now + to_duration(std::min(wait, max_wait));
     };
-    if (gate.part.holder) {
+    if (gate.share.owner) {
         constexpr double rounding = 1e-6;
-        const double missing = 1.0 - membership::available(gate.bucket, now);
+        const double missing = 1.0 - limits::available(gate.bucket, now);
         return missing <= rounding ? now : after(missing);
     }
-    if (now < gate.slot_at) {
-        return gate.slot_at;
+    if (now < gate.permit_at) {
+        return gate.permit_at;
     }
-    return slot_is_open(gate, now) ? now : after(1.0);
+    return permit_is_valid(gate, now) ? now : after(1.0);
 }
 
 void count_request(rate_gate& gate, random_source& random, boot_time now)
 {
-    if (gate.part.holder) {
-        membership::refill(gate.bucket, now);
+    if (gate.share.owner) {
+        limits::refill(gate.bucket, now);
         gate.bucket.tokens -= 1.0;
     } else {
-        draw_slot(gate, random, now);
+        draw_permit(gate, random, now);
     }
 }
 
-void renew_slot(rate_gate& gate, random_source& random, boot_time now)
+void renew_permit(rate_gate& gate, random_source& random, boot_time now)
 {
-    if (!gate.part.holder && gate.slot_at != boot_time::max() &&
-        now >= gate.slot_at + slot_validity) {
-        draw_slot(gate, random, now);
+    if (!gate.share.owner && gate.permit_at != boot_time::max() &&
+        now >= gate.permit_at + permit_validity) {
+        draw_permit(gate, random, now);
     }
 }
 
--- a/libraries/gateway/rate_share.hpp
+++ b/libraries/gateway/rate_share.hpp
@@ -2,7 +2,7 @@
 #define BULRUSHSPRING_LIBRARIES_GATEWAY_RATE_SHARE_HPP
 
 #include "base/random.hpp"
-#include "libraries/membership/token_bucket.hpp"
+#include "libraries/limits/token_bucket.hpp"
 #include "libraries/wire/message.hpp"
 
 #include <span>
@@ -12,11 +12,11 @@
 
 // A leaf may state how many requests a second it takes from all daemons
 // together. The daemons divide that rate without talking about each request:
-// each computes its own part from the membership.
+// each computes its own share from the membership.
 //
 // While the rate allows each daemon that serves callers a request a second, all
-// of these have equal parts. Below that, as many of them as the rate has
-// requests a second hold it, chosen by rendezvous hash, so that a burst of one
+// of these have equal shares. Below that, as many of them as the rate has
+// requests a second own it, chosen by rendezvous hash, so that a burst of one
 // request each stays near the rate as well. The other daemons together have a
 // small reserve, by which they notice in time that the limit has ended.
 namespace bulrushspring::gateway
@@ -30,7 +30,7 @@
     double serving_count = 1;
     double fleet_count = 1;
     boot_time counted_at{};
-    // A daemon that does not know its fleet yet takes no part.
+    // A daemon that does not know its fleet yet takes no share.
     bool known = false;
 };
 
@@ -38,27 +38,27 @@
 void update(rate_sharers&, std::span<const wire::member_record> serving,
             std::size_t fleet_size, bool known, boot_time now);
 
-// One daemon's part of a leaf's rate.
-struct rate_part {
+// One daemon's share of a leaf's rate.
+struct rate_share {
     double per_second = 0;
-    bool holder = false; // else it has a part of the reserve
+    bool owner = false; // else it has a share of the reserve
 };
 
-// The part of the daemon of this name. `limit` is in requests a second.
-rate_part part_of(const rate_sharers&, std::string_view daemon,
-                  std::string_view leaf, double limit);
+// The share of the daemon of this name. `limit` is in requests a second.
+rate_share share_of(const rate_sharers&, std::string_view daemon,
+                    std::string_view leaf, double limit);
 
 // Admits the requests of one daemon to one leaf.
 struct rate_gate {
-    rate_part part;
-    membership::token_bucket bucket; // of a holder
+    rate_share share;
+    limits::token_bucket bucket; // of an owner
     // Otherwise the time at which a request may be sent, which passes unused
     // after a while: requests of many daemons must not accumulate.
-    boot_time slot_at{};
+    boot_time permit_at{};
 };
 
-// Adopts another part. Tokens that were not used yet are kept.
-void set_part(rate_gate&, const rate_part&, random_source&, boot_time now);
+// Adopts another share. Tokens that were not used yet are kept.
+void set_share(rate_gate&, const rate_share&, random_source&, boot_time now);
 
 // The earliest time at which a request may be sent; boot_time::max() if no time
 // is known.
@@ -68,7 +68,7 @@
 void count_request(rate_gate&, random_source&, boot_time now);
 
 // Draws the next time for a request if the last one has passed unused.
-void renew_slot(rate_gate&, random_source&, boot_time now);
+void renew_permit(rate_gate&, random_source&, boot_time now);
 
 } // namespace bulrushspring::gateway
 
--- a/libraries/gateway/reach.cpp
+++ b/libraries/gateway/reach.cpp
@@ -4,7 +4,6 @@
 #include "libraries/gateway/events.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace bulrushspring::gateway
 {
@@ -241,14 +240,6 @@
     return true;
 }
 
-// Saturates at the highest value that a message holds.
-std::uint32_t milliseconds_ago(boot_time at, boot_time now)
-{
-    constexpr std::int64_t max_age = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(
-        std::min(to_milliseconds(now - at), max_age));
-}
-
 } // namespace
 
 reach_state make_reach(const reach_options& settings, std::uint64_t seed,
@@ -296,9 +287,8 @@
 {
     const auto now = step.context.now;
     step.context.shared.emit(reply_to_peer{
-        token,
-        wire::leaf_contact_reply{milliseconds_ago(reach.answered_at, now),
-                                 milliseconds_ago(reach.contact_at, now)}});
+        token, wire::leaf_contact_reply{wire::age_of(reach.answered_at, now),
+                                        wire::age_of(reach.contact_at, now)}});
     if (now - reach.contact_at > reach.settings.recent_contact) {
         check_leafs(reach, step, usable_leafs(reach, step.pool, now), 1);
     }
@@ -319,7 +309,7 @@
     const auto now = step.context.now;
     const auto& settings = reach.settings;
     const auto leads = [&](std::uint32_t age, boot_time own, duration lead) {
-        return now - milliseconds{age} >= own + lead;
+        return wire::time_of(age, now) >= own + lead;
     };
     const auto found =
         collect_evidence(reach, step, usable_leafs(reach, step.pool, now));
--- a/libraries/gateway/serving_set.cpp
+++ b/libraries/gateway/serving_set.cpp
@@ -1,9 +1,9 @@
 #include "libraries/gateway/serving_set.hpp"
 
 #include "base/hash.hpp"
+#include "libraries/limits/decay.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace bulrushspring::gateway
 {
@@ -51,8 +51,7 @@
 {
     if (set.reviewed_at != boot_time::min()) {
         const double kept =
-            std::exp2(-static_cast<double>((now - set.reviewed_at).count()) /
-                      static_cast<double>(options.half_life.count()));
+            limits::decay_factor(now - set.reviewed_at, options.half_life);
         set.grown_requirement *= kept;
         set.large_capacity *= kept;
     }
--- a/libraries/membership/token_bucket.hpp
+++ b/libraries/limits/token_bucket.hpp
@@ -1,11 +1,11 @@
-#ifndef BULRUSHSPRING_LIBRARIES_MEMBERSHIP_TOKEN_BUCKET_HPP
-#define BULRUSHSPRING_LIBRARIES_MEMBERSHIP_TOKEN_BUCKET_HPP
+#ifndef BULRUSHSPRING_LIBRARIES_LIMITS_TOKEN_BUCKET_HPP
+#define BULRUSHSPRING_LIBRARIES_LIMITS_TOKEN_BUCKET_HPP
 
 #include "base/time.hpp"
 
 #include <algorithm>
 
-namespace bulrushspring::membership
+namespace bulrushspring::limits
 {
 
 // A rate limit that allows bursts of up to `capacity`.
@@ -49,6 +49,6 @@
     return true;
 }
 
-} // namespace bulrushspring::membership
+} // namespace bulrushspring::limits
 
 #endif
--- a/libraries/membership/membership.cpp
+++ b/libraries/membership/membership.cpp
@@ -243,14 +243,14 @@
     membership.verdicts_suspended_until = now;
     membership.heard_at = now;
     membership.last_gossip = now;
-    membership.update_bytes = make_bucket(settings.update_bytes_per_second,
-                                          settings.update_bytes_burst, now);
-    membership.datagrams = make_bucket(settings.datagrams_per_second,
-                                       settings.datagrams_burst, now);
+    membership.update_bytes = limits::make_bucket(
+        settings.update_bytes_per_second, settings.update_bytes_burst, now);
+    membership.datagrams = limits::make_bucket(settings.datagrams_per_second,
+                                               settings.datagrams_burst, now);
     membership.next_sync = now;
     membership.sync_retry = settings.shortest_sync_retry;
-    membership.full_replies = make_bucket(settings.full_replies_per_second,
-                                          settings.full_replies_burst, now);
+    membership.full_replies = limits::make_bucket(
+        settings.full_replies_per_second, settings.full_replies_burst, now);
     add_member(membership, self, now);
     enqueue_member_update(membership, self_index, now);
     return membership;
--- a/libraries/membership/state.hpp
+++ b/libraries/membership/state.hpp
@@ -3,10 +3,10 @@
 
 #include "base/random.hpp"
 #include "base/time.hpp"
+#include "libraries/limits/token_bucket.hpp"
 #include "libraries/membership/member_rotation.hpp"
 #include "libraries/membership/options.hpp"
 #include "libraries/membership/pending_updates.hpp"
-#include "libraries/membership/token_bucket.hpp"
 #include "libraries/wire/message.hpp"
 
 #include <array>
@@ -148,13 +148,13 @@
     std::uint32_t digest_transmissions_left = 0;
     boot_time next_gossip = never;
     boot_time last_gossip;
-    token_bucket update_bytes;
-    token_bucket datagrams;
+    limits::token_bucket update_bytes;
+    limits::token_bucket datagrams;
 
     std::optional<exchange_id> sync;
     boot_time next_sync;
     duration sync_retry{0};
-    token_bucket full_replies;
+    limits::token_bucket full_replies;
 };
 
 inline member_rotation& rotation_of(state& membership, probe_class which)
--- a/libraries/poison/poison.cpp
+++ b/libraries/poison/poison.cpp
@@ -109,23 +109,6 @@
     return includes(into, added.leaf_process);
 }
 
-// Ages in messages, in milliseconds.
-constexpr std::uint32_t never = std::numeric_limits<std::uint32_t>::max();
-
-std::uint32_t age_of(boot_time at, boot_time now)
-{
-    if (at == boot_time::min()) {
-        return never;
-    }
-    const auto age = std::max<std::int64_t>(to_milliseconds(now - at), 0);
-    return static_cast<std::uint32_t>(std::min<std::int64_t>(age, never - 1));
-}
-
-boot_time time_of(std::uint32_t age, boot_time now)
-{
-    return age == never ? boot_time::min() : now - milliseconds{age};
-}
-
 } // namespace
 
 std::uint32_t consecutive_crashes(const record& of)
@@ -228,12 +211,12 @@
 {
     const fingerprint of{report.fingerprint};
     const bool tells_nothing =
-        report.crashes.empty() && report.answered_ms_ago == never;
-    if (report.seen_ms_ago == never ||
+        report.crashes.empty() && report.answered_ms_ago == wire::never_ago;
+    if (report.seen_ms_ago == wire::never_ago ||
         (tells_nothing && find(self, of) == nullptr)) {
         return false;
     }
-    const boot_time seen_at = time_of(report.seen_ms_ago, now);
+    const boot_time seen_at = wire::time_of(report.seen_ms_ago, now);
     if (now - seen_at >= self.settings.retention) {
         return false;
     }
@@ -242,7 +225,7 @@
     bool changed = !into.crashes.empty() &&
                    seen_at - into.seen_at >= self.settings.retention / 2;
     into.seen_at = std::max(into.seen_at, seen_at);
-    const boot_time answered_at = time_of(report.answered_ms_ago, now);
+    const boot_time answered_at = wire::time_of(report.answered_ms_ago, now);
     const bool was_suspect = !into.crashes.empty();
     if (answered_at > into.answered_at) {
         into.answered_at = answered_at;
@@ -250,8 +233,9 @@
         changed = changed || (was_suspect && into.crashes.empty());
     }
     for (const auto& each : report.crashes) {
-        const crash added{each.leaf_process, time_of(each.sent_ms_ago, now),
-                          time_of(each.ended_ms_ago, now)};
+        const crash added{each.leaf_process,
+                          wire::time_of(each.sent_ms_ago, now),
+                          wire::time_of(each.ended_ms_ago, now)};
         changed =
             insert(into, added, self.settings.max_crashes_kept) || changed;
     }
@@ -266,11 +250,12 @@
     if (known == nullptr) {
         return report;
     }
-    report.seen_ms_ago = age_of(known->seen_at, now);
-    report.answered_ms_ago = age_of(known->answered_at, now);
+    report.seen_ms_ago = wire::age_of(known->seen_at, now);
+    report.answered_ms_ago = wire::age_of(known->answered_at, now);
     for (const auto& each : known->crashes) {
-        report.crashes.push_back({each.leaf_process, age_of(each.sent_at, now),
-                                  age_of(each.ended_at, now)});
+        report.crashes.push_back({each.leaf_process,
+                                  wire::age_of(each.sent_at, now),
+                                  wire::age_of(each.ended_at, now)});
     }
     return report;
 }
--- a/libraries/poison/spread.cpp
+++ b/libraries/poison/spread.cpp
@@ -1,8 +1,6 @@
 #include "libraries/poison/spread.hpp"
 
-#include "libraries/membership/receivers.hpp"
 #include "libraries/poison/events.hpp"
-#include "libraries/wire/datagram.hpp"
 #include "libraries/wire/frame.hpp"
 
 #include <algorithm>
@@ -61,61 +59,18 @@
     self.queue.push_back(added);
 }
 
-// Takes the reports to send next, as many as fit into `room` bytes.
-wire::crash_reports take_reports(spread_state& self, const state& table,
-                                 std::size_t room, std::uint32_t receivers,
-                                 boot_time now)
-{
-    wire::crash_reports message;
-    std::stable_sort(self.queue.begin(), self.queue.end(), sent_before);
-    for (auto& each : self.queue) {
-        if (each.due > now) {
-            continue;
-        }
-        auto report = report_of(table, each.of, now);
-        const auto size = wire::encoded_size(report);
-        if (size > room ||
-            message.reports.size() == wire::max_reports_in_datagram) {
-            break;
-        }
-        room -= size;
-        each.transmissions += receivers;
-        message.reports.push_back(std::move(report));
-    }
-    return message;
-}
-
 void send_reports(spread_state& self, const state& table,
                   std::span<const wire::member_record> live, context& context)
 {
-    const auto receivers =
-        membership::choose_receivers(self.random, live, self.settings.fanout);
-    const auto count = static_cast<std::uint32_t>(receivers.size());
-    const auto base = wire::base_size(wire::crash_reports{});
-    const auto allowed = std::min(
-        static_cast<std::size_t>(refill(self.bytes, context.now)) / count,
-        wire::max_datagram_bytes);
-    if (allowed <= base) {
-        return;
-    }
-    const auto message =
-        take_reports(self, table, allowed - base, count, context.now);
-    if (message.reports.empty()) {
-        return;
-    }
-    std::size_t size = base;
-    for (const auto& each : message.reports) {
-        size += wire::encoded_size(each);
-    }
-    self.bytes.tokens -= static_cast<double>(size * count);
-    for (const auto& to : receivers) {
-        context.emit(send_datagram{to, message});
-    }
-    const auto limit = membership::max_transmissions(
-        self.settings.transmission_factor, live.size());
-    std::erase_if(self.queue, [&](const auto& each) {
-        return each.transmissions >= limit;
-    });
+    std::stable_sort(self.queue.begin(), self.queue.end(), sent_before);
+    const auto report = [&](const queued_report& each) {
+        return each.due > context.now
+                   ? std::nullopt
+                   : std::optional(report_of(table, each.of, context.now));
+    };
+    membership::send_queued(
+        self.sender, self.queue, &wire::crash_reports::reports,
+        wire::max_reports_in_datagram, report, live, context);
 }
 
 void request_reports(spread_state& self,
@@ -139,11 +94,10 @@
     spread_state made;
     made.settings = settings;
     made.random.seed(seed);
-    made.next_send = now;
-    made.bytes = membership::make_bucket(settings.bytes_per_second,
-                                         settings.bytes_burst, now);
-    made.reply_bytes = membership::make_bucket(settings.reply_bytes_per_second,
-                                               settings.reply_bytes_burst, now);
+    made.sender =
+        membership::make_gossip_sender(settings.gossip, seed + 1, now);
+    made.reply_bytes = limits::make_bucket(settings.reply_bytes_per_second,
+                                           settings.reply_bytes_burst, now);
     made.initial_syncs_left = settings.initial_syncs;
     made.next_sync = now;
     return made;
@@ -177,8 +131,8 @@
             request_reports(self, live, context);
         }
     }
-    if (!self.queue.empty() && context.now >= self.next_send) {
-        self.next_send = context.now + self.settings.interval;
+    if (!self.queue.empty() && context.now >= self.sender.next_send) {
+        self.sender.next_send = context.now + self.settings.gossip.interval;
         if (!alone) {
             send_reports(self, table, live, context);
         }
@@ -267,7 +221,7 @@
                              [](const auto& one, const auto& other) {
                                  return one.due < other.due;
                              });
-        next = std::min(next, std::max(self.next_send, first->due));
+        next = std::min(next, std::max(self.sender.next_send, first->due));
     }
     return next;
 }
--- a/libraries/poison/spread.hpp
+++ b/libraries/poison/spread.hpp
@@ -2,7 +2,7 @@
 #define BULRUSHSPRING_LIBRARIES_POISON_SPREAD_HPP
 
 #include "base/random.hpp"
-#include "libraries/membership/token_bucket.hpp"
+#include "libraries/membership/gossip_sender.hpp"
 #include "libraries/poison/poison.hpp"
 #include "libraries/reducer/effect.hpp"
 
@@ -16,16 +16,11 @@
 {
 
 struct spread_options {
-    duration interval = milliseconds{200};
-    std::size_t fanout = 3; // receivers of each sending
-    // Sendings of a report, as a multiple of log2 of the fleet's size.
-    double transmission_factor = 3.0;
+    membership::gossip_options gossip;
     // An innocent request that ran beside is answered by another leaf within
     // this time, and then needs no report.
     duration first_crash_delay = milliseconds{500};
     std::size_t max_queued = 64;
-    double bytes_per_second = 2500; // of datagrams
-    double bytes_burst = 10000;
     // Limits on the reports sent in reply to requests.
     double reply_bytes_per_second = 2500;
     double reply_bytes_burst = 100000;
@@ -51,9 +46,8 @@
     spread_options settings;
     random_source random;
     std::vector<queued_report> queue; // at most one for each fingerprint
-    boot_time next_send{};
-    membership::token_bucket bytes;
-    membership::token_bucket reply_bytes;
+    membership::gossip_sender sender;
+    limits::token_bucket reply_bytes;
     std::optional<exchange_id> sync; // in progress
     std::uint32_t initial_syncs_left = 0;
     boot_time next_sync{};
--- a/libraries/wire/message.hpp
+++ b/libraries/wire/message.hpp
@@ -4,7 +4,9 @@
 #include "base/endpoint.hpp"
 #include "base/hash.hpp"
 #include "base/identifiers.hpp"
+#include "base/time.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -13,6 +15,27 @@
 namespace bulrushspring::wire
 {
 
+// Times are sent as ages in milliseconds before the message was sent.
+// The age of a time that never was.
+inline constexpr std::uint32_t never_ago = 0xFFFFFFFFU;
+
+// The age of a time; boot_time::min() never was. Saturates.
+inline std::uint32_t age_of(boot_time at, boot_time now)
+{
+    if (at == boot_time::min()) {
+        return never_ago;
+    }
+    const auto age = std::max<std::int64_t>(to_milliseconds(now - at), 0);
+    return static_cast<std::uint32_t>(
+        std::min<std::int64_t>(age, never_ago - 1));
+}
+
+// The inverse of age_of.
+inline boot_time time_of(std::uint32_t age, boot_time now)
+{
+    return age == never_ago ? boot_time::min() : now - milliseconds{age};
+}
+
 // The numeric values are sent.
 enum class member_status : std::uint8_t { alive, suspect, leaving, dead };
 
@@ -109,7 +132,7 @@
     std::uint64_t fingerprint = 0;
     std::uint32_t seen_ms_ago = 0;
     // When a leaf last answered it; the highest value means never.
-    std::uint32_t answered_ms_ago = 0xFFFFFFFFU;
+    std::uint32_t answered_ms_ago = never_ago;
     std::vector<leaf_crash> crashes;
 
     bool operator==(const crash_report&) const = default;
@@ -213,8 +236,8 @@
 // Milliseconds since a leaf answered the sender, and since one last accepted a
 // connection of it or answered. The highest value is sent for longer times.
 struct leaf_contact_reply {
-    std::uint32_t answered_ms_ago = 0xFFFFFFFFU;
-    std::uint32_t contact_ms_ago = 0xFFFFFFFFU;
+    std::uint32_t answered_ms_ago = never_ago;
+    std::uint32_t contact_ms_ago = never_ago;
 };
 
 using peer_request =
--- a/tests/gateway/rate_share_test.cpp
+++ b/tests/gateway/rate_share_test.cpp
@@ -33,8 +33,8 @@
     random_source random(seed);
     std::vector<rate_gate> gates(fleet);
     for (std::size_t i = 0; i < fleet; ++i) {
-        set_part(gates[i], part_of(sharers, members[i].name, "leaf", limit),
-                 random, start);
+        set_share(gates[i], share_of(sharers, members[i].name, "leaf", limit),
+                  random, start);
     }
     const boot_time from = start + seconds{300};
     std::vector<boot_time> sent;
@@ -42,7 +42,7 @@
     for (boot_time now = from; now < from + seconds{12};
          now += milliseconds{10}) {
         for (auto& gate : gates) {
-            renew_slot(gate, random, now);
+            renew_permit(gate, random, now);
             while (admits_at(gate, now) <= now) {
                 count_request(gate, random, now);
                 sent.push_back(now);
@@ -76,7 +76,7 @@
     RC_ASSERT(static_cast<double>(most) <= 1.5 * limit * 4.0 + 5.0);
 }
 
-// The parts are worth the limit: callers of all serving daemons can use it up.
+// The shares are worth the limit: callers of all serving daemons can use it up.
 RC_BOOST_PROP(the_parts_of_all_daemons_add_up_to_the_limit, ())
 {
     const auto fleet = *rc::gen::inRange<std::size_t>(1, 100);
@@ -87,7 +87,7 @@
     update(sharers, std::span(members).first(serving), fleet, true, start);
     double sum = 0;
     for (const auto& each : members) {
-        sum += part_of(sharers, each.name, "leaf", limit).per_second;
+        sum += share_of(sharers, each.name, "leaf", limit).per_second;
     }
     RC_ASSERT(sum > 0.99 * limit);
     RC_ASSERT(sum < 1.01 * limit);
@@ -99,21 +99,21 @@
     const auto members = make_members(20);
     rate_sharers sharers;
     update(sharers, members, 20, true, start);
-    const auto part = [&] {
-        return part_of(sharers, "entry-0", "leaf", 40).per_second;
+    const auto share = [&] {
+        return share_of(sharers, "entry-0", "leaf", 40).per_second;
     };
-    BOOST_TEST(part() == 2.0);
+    BOOST_TEST(share() == 2.0);
     update(sharers, std::span(members).first(10), 10, true,
            start + seconds{10});
-    BOOST_TEST(part() <= 2.5);
+    BOOST_TEST(share() <= 2.5);
     update(sharers, std::span(members).first(10), 10, true,
            start + seconds{120});
-    BOOST_TEST(part() == 4.0);
+    BOOST_TEST(share() == 4.0);
 }
 
-BOOST_AUTO_TEST_CASE(a_daemon_that_knows_no_fleet_has_no_part)
+BOOST_AUTO_TEST_CASE(a_daemon_that_knows_no_fleet_has_no_share)
 {
-    BOOST_TEST(part_of({}, "entry-0", "leaf", 40).per_second == 0.0);
+    BOOST_TEST(share_of({}, "entry-0", "leaf", 40).per_second == 0.0);
 }
 
 } // namespace bulrushspring::gateway::test
