gateway: Update shares of rates also while callers ask for entries

What callers saw: a daemon that callers asked for entries more often than twice a second never took up a share of a stated rate, nor a changed fleet: leafs that state one got nothing from it, and requests that all leafs of a service limit were refused.

Cause: the shares were updated with the review of the serving set on a tick, and each answer for entries reviews it too, which puts the tick's one off. The shares have an interval of their own now.

questions_for_entries_do_not_delay_shares_of_rates: two checks failed before, none now.

--- a/libraries/gateway/fleet.cpp
+++ b/libraries/gateway/fleet.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr milliseconds store_role_interval{200};
+constexpr milliseconds rate_share_interval{500};
 
 // Determines this daemon's role in reading the store. A daemon without any
 // records lists the store at once, independently of other readers. One that
@@ -119,13 +120,20 @@
         now - self.serving.reviewed_at >=
             self.settings.serving.review_interval) {
         update_serving_set(self, now);
-        update_rate_shares(
-            self.pool, self.serving.members,
-            membership::view_of(self.members).members.size(),
-            self.pool.fleet.known && !self.pool.fleet.recently_started, now);
     }
 }
 
+void update_rate_shares_if_due(state& self, boot_time now)
+{
+    if (now - self.pool.sharers.counted_at < rate_share_interval) {
+        return;
+    }
+    update_rate_shares(
+        self.pool, self.serving.members,
+        membership::view_of(self.members).members.size(),
+        self.pool.fleet.known && !self.pool.fleet.recently_started, now);
+}
+
 void update_budget(state& self, boot_time now)
 {
     auto& limits = self.exchanges.settings.budget;
--- a/libraries/gateway/fleet.hpp
+++ b/libraries/gateway/fleet.hpp
@@ -19,6 +19,9 @@
 void update_serving_set(state&, boot_time now);
 void update_serving_set_if_due(state&, boot_time now);
 
+// Updates this daemon's shares of the rates that leafs have stated.
+void update_rate_shares_if_due(state&, boot_time now);
+
 // Sets this daemon's share of the site's retry budget. Large daemons divide
 // the greater part, since they serve the callers. A daemon that does not know
 // its fleet yet takes none, and one that has just started takes less: its
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -109,6 +109,7 @@
     pass_to_topology(self, event, context);
     update_fleet_summary(self, context.now);
     update_serving_set_if_due(self, context.now);
+    update_rate_shares_if_due(self, context.now);
     update_budget(self, context.now);
     maintain(self.pool, context);
     poison::advance(self.spread, self.exchanges.poison,
--- a/tests/gateway/leaf_limit_test.cpp
+++ b/tests/gateway/leaf_limit_test.cpp
@@ -200,6 +200,21 @@
     BOOST_TEST(logged == 1);
 }
 
+// Found by rereading: each question of a caller for the daemons to use put off
+// the next look at who divides the rates.
+BOOST_FIXTURE_TEST_CASE(questions_for_entries_do_not_delay_shares_of_rates,
+                        limit_fixture)
+{
+    const auto self = membership::self_of(state.members);
+    state = gateway::make_state(self, {}, settings, clock.now());
+    for (int i = 0; i < 50; ++i) {
+        advance(milliseconds{100}, milliseconds{10});
+        feed(entries_requested{caller_token{++last_token}, "kl-1"});
+    }
+    BOOST_TEST(state.pool.sharers.known);
+    BOOST_TEST(state.pool.sharers.serving.size() == 2U);
+}
+
 // A limit of 0 is kept, but a request now and then tells whether it still
 // holds.
 BOOST_FIXTURE_TEST_CASE(a_limit_of_zero_allows_rare_requests, limit_fixture)
