gateway: Name reachability and partitions by the field's terms

No caller sees a difference. "Reach", "cut off", "doubt" and "return" were words of our own for what the field calls reachability, a partition, suspicion and recovery after a hold-down.

--- a/fakes/experiment/fleet.cpp
+++ b/fakes/experiment/fleet.cpp
@@ -64,8 +64,10 @@
     const duration took = self.now - asked.sent_at + 2 * network_latency;
     const auto& answer = answered.answer;
     if (answer.kind == gateway::answer_kind::merged) {
-        result.served_at_cut += asked.during_cut && asked.at_cut ? 1 : 0;
-        result.served_at_others += asked.during_cut && !asked.at_cut ? 1 : 0;
+        result.served_in_partition +=
+            asked.during_partition && asked.in_partition ? 1 : 0;
+        result.served_at_others +=
+            asked.during_partition && !asked.in_partition ? 1 : 0;
         result.in_time += took <= self.plan.objective ? 1 : 0;
         result.late += took <= self.plan.objective ? 0 : 1;
         result.answered_parts += self.plan.shards;
@@ -270,18 +272,20 @@
            first_port;
 }
 
-// Counts a query that is sent during a cut.
-void count_during_cut(simulation& self, std::size_t daemon, query& asked)
+// Counts a query that is sent during a partition.
+void count_during_partition(simulation& self, std::size_t daemon, query& asked)
 {
     const auto at = self.now - self.start;
-    asked.during_cut = std::any_of(
-        self.plan.cuts.begin(), self.plan.cuts.end(), [&](const auto& cut) {
-            return at >= cut.from + cut_grace && at < cut.from + cut.span;
-        });
-    asked.at_cut = find_cut(self, daemon) != nullptr;
-    if (asked.during_cut) {
-        ++(asked.at_cut ? self.result.asked_at_cut
-                        : self.result.asked_at_others);
+    asked.during_partition =
+        std::any_of(self.plan.partitions.begin(), self.plan.partitions.end(),
+                    [&](const auto& partition) {
+                        return at >= partition.from + partition_grace &&
+                               at < partition.from + partition.span;
+                    });
+    asked.in_partition = find_partition(self, daemon) != nullptr;
+    if (asked.during_partition) {
+        ++(asked.in_partition ? self.result.asked_in_partition
+                              : self.result.asked_at_others);
     }
 }
 
@@ -307,7 +311,7 @@
         asked.counted = true;
     }
     const auto to = choose_daemon(self);
-    count_during_cut(self, to, self.queries[token]);
+    count_during_partition(self, to, self.queries[token]);
     feed(self, to, gateway::forward_requested{caller_token{token}, request});
     const double pause = -std::log(1.0 - random_fraction(self.random)) /
                          self.plan.queries_per_second;
--- a/fakes/experiment/fleet.hpp
+++ b/fakes/experiment/fleet.hpp
@@ -24,10 +24,10 @@
     std::uint64_t answered_parts = 0; // of the answered queries
     std::uint64_t covered_parts = 0;  // of those
     std::uint64_t leaf_requests = 0;  // that reached a leaf
-    // First tries from the users' grace time after a cut has begun until it
-    // ends, at the daemons that are cut off and at the others.
-    std::uint64_t asked_at_cut = 0;
-    std::uint64_t served_at_cut = 0;
+    // First tries from the users' grace time after a partition has begun until
+    // it ends, at the daemons that are partition off and at the others.
+    std::uint64_t asked_in_partition = 0;
+    std::uint64_t served_in_partition = 0;
     std::uint64_t asked_at_others = 0;
     std::uint64_t served_at_others = 0;
     // The most requests that a leaf got beyond what it may, see limit_window.
--- a/fakes/experiment/leafs.cpp
+++ b/fakes/experiment/leafs.cpp
@@ -76,8 +76,8 @@
 // Whether packets between the daemon and the leafs are lost.
 bool is_silenced(const simulation& self, std::size_t daemon)
 {
-    const auto* cut = find_cut(self, daemon);
-    return cut != nullptr && cut->kind == cut_kind::silent;
+    const auto* partition = find_partition(self, daemon);
+    return partition != nullptr && partition->kind == partition_kind::silent;
 }
 
 void reply(simulation& self, const job& to, unsigned status, bool not_run)
@@ -133,16 +133,18 @@
 
 } // namespace
 
-const daemon_cut* find_cut(const simulation& self, std::size_t daemon)
+const daemon_partition* find_partition(const simulation& self,
+                                       std::size_t daemon)
 {
     const auto at = self.now - self.start;
     const auto found = std::find_if(
-        self.plan.cuts.begin(), self.plan.cuts.end(), [&](const auto& cut) {
-            return daemon >= cut.first_daemon &&
-                   daemon < cut.first_daemon + cut.daemons && at >= cut.from &&
-                   at < cut.from + cut.span;
+        self.plan.partitions.begin(), self.plan.partitions.end(),
+        [&](const auto& partition) {
+            return daemon >= partition.first_daemon &&
+                   daemon < partition.first_daemon + partition.daemons &&
+                   at >= partition.from && at < partition.from + partition.span;
         });
-    return found == self.plan.cuts.end() ? nullptr : &*found;
+    return found == self.plan.partitions.end() ? nullptr : &*found;
 }
 
 void disconnect(simulation& self, std::size_t daemon, connection_id connection)
@@ -200,7 +202,7 @@
         return;
     }
     auto& leaf = self.leafs[found->second.leaf];
-    if (find_cut(self, daemon) != nullptr || is_down(self, leaf) ||
+    if (find_partition(self, daemon) != nullptr || is_down(self, leaf) ||
         leaf.connections >= self.plan.connections) {
         disconnect(self, daemon, connection);
         return;
@@ -216,13 +218,13 @@
 
 void schedule_faults(simulation& self)
 {
-    for (const auto& cut : self.plan.cuts) {
-        if (cut.kind != cut_kind::reset) {
+    for (const auto& partition : self.plan.partitions) {
+        if (partition.kind != partition_kind::reset) {
             continue;
         }
-        after(self, preparation + cut.from, [&self, cut] {
-            for (std::size_t i = 0; i < cut.daemons; ++i) {
-                const auto daemon = cut.first_daemon + i;
+        after(self, preparation + partition.from, [&self, partition] {
+            for (std::size_t i = 0; i < partition.daemons; ++i) {
+                const auto daemon = partition.first_daemon + i;
                 for (const auto& [id, to] : self.daemons[daemon].links) {
                     disconnect(self, daemon, connection_id{id});
                 }
--- a/fakes/experiment/pattern.cpp
+++ b/fakes/experiment/pattern.cpp
@@ -92,19 +92,19 @@
     into.faults.push_back(fault);
 }
 
-void read_cut(key_reader& reader, pattern& into)
+void read_partition(key_reader& reader, pattern& into)
 {
-    daemon_cut cut;
-    cut.kind = static_cast<cut_kind>(
+    daemon_partition partition;
+    partition.kind = static_cast<partition_kind>(
         read_choice(reader, "kind", {"silent", "reset", "refuse_new"}));
-    cut.first_daemon =
+    partition.first_daemon =
         read_number(reader, "first_daemon", {0, daemon_range.high}, 0);
-    cut.daemons = read_number(reader, "daemons", daemon_range, 1);
-    cut.from = read_seconds(reader, "from_s");
-    cut.span = read_seconds(reader, "for_s");
+    partition.daemons = read_number(reader, "daemons", daemon_range, 1);
+    partition.from = read_seconds(reader, "from_s");
+    partition.span = read_seconds(reader, "for_s");
     refuse_unknown_keys(reader,
                         {"kind", "first_daemon", "daemons", "from_s", "for_s"});
-    into.cuts.push_back(cut);
+    into.partitions.push_back(partition);
 }
 
 // Faults must be of shards and leafs that the fleet has.
@@ -143,11 +143,11 @@
             read_load(reader, parsed);
         } else if (manifest::split_header(header).kind == "fault") {
             read_fault(reader, parsed);
-        } else if (manifest::split_header(header).kind == "cut") {
-            read_cut(reader, parsed);
+        } else if (manifest::split_header(header).kind == "partition") {
+            read_partition(reader, parsed);
         } else {
             add_error(reader, errc::unknown_key, "",
-                      "one of fleet, route, load, fault NAME, cut NAME",
+                      "one of fleet, route, load, fault NAME, partition NAME",
                       header);
         }
     }
--- a/fakes/experiment/pattern.hpp
+++ b/fakes/experiment/pattern.hpp
@@ -31,15 +31,15 @@
     duration span{0};
 };
 
-enum class cut_kind : std::uint8_t {
+enum class partition_kind : std::uint8_t {
     silent,     // nothing passes, connects hang
     reset,      // connections are reset, connects refused
     refuse_new, // open connections live on, connects are refused
 };
 
 // Some daemons lose their paths to all leafs.
-struct daemon_cut {
-    cut_kind kind = cut_kind::silent;
+struct daemon_partition {
+    partition_kind kind = partition_kind::silent;
     std::size_t first_daemon = 0;
     std::size_t daemons = 1;
     duration from{0}; // since the start of the pattern
@@ -69,7 +69,7 @@
     // of them asks each second and the others each three; else any daemon.
     bool directory = false;
     std::vector<leaf_fault> faults;
-    std::vector<daemon_cut> cuts;
+    std::vector<daemon_partition> partitions;
 };
 
 // Parses the content of a pattern file. On failure returns all errors.
--- a/fakes/experiment/simulation.hpp
+++ b/fakes/experiment/simulation.hpp
@@ -27,8 +27,8 @@
 inline constexpr seconds limit_window{4};
 inline constexpr double max_limit_factor = 1.5;
 inline constexpr double max_extra_arrivals = 5;
-// After this time, callers of a daemon that is cut off have to be served.
-inline constexpr seconds cut_grace{4};
+// After this time, callers of a daemon that is partition off have to be served.
+inline constexpr seconds partition_grace{4};
 
 // A daemon's connection to a leaf.
 struct link {
@@ -66,10 +66,10 @@
 struct query {
     boot_time sent_at{};
     bool counted = false; // in the result
-    // Sent while a cut has lasted for the users' grace time, to a daemon that
-    // is cut off or to another.
-    bool during_cut = false;
-    bool at_cut = false;
+    // Sent while a partition has lasted for the users' grace time, to a daemon
+    // that is partition off or to another.
+    bool during_partition = false;
+    bool in_partition = false;
 };
 
 // Callers that ask the directory at the same times.
@@ -127,8 +127,8 @@
 // A leaf gets a connection that a daemon opens, and accepts it or not.
 void accept(simulation&, std::size_t daemon, connection_id);
 
-// The cut that holds for the daemon now; null if there is none.
-const daemon_cut* find_cut(const simulation&, std::size_t daemon);
+// The partition that holds for the daemon now; null if there is none.
+const daemon_partition* find_partition(const simulation&, std::size_t daemon);
 
 // A leaf ends a connection, or does not accept it.
 void disconnect(simulation&, std::size_t daemon, connection_id);
--- a/fakes/site/proxy.cpp
+++ b/fakes/site/proxy.cpp
@@ -40,14 +40,14 @@
                                reinterpret_cast<const sockaddr*>(&to),
                                sizeof to);
     created.accepted_at = system_boot_clock{}.now();
-    created.cut = static_cast<bool>(owner.cut_.ports);
+    created.partitioned = static_cast<bool>(owner.partition_.ports);
 }
 
-void proxy::cut_clients(const client_cut& cut)
+void proxy::partition_clients(const client_partition& partition)
 {
-    cut_ = cut;
+    partition_ = partition;
     classify();
-    if (!cut.ports) {
+    if (!partition.ports) {
         event_del(classify_timer_.get());
     } else {
         const auto interval = shell::to_timeval(port_cache_time);
@@ -63,14 +63,15 @@
 
 void proxy::classify()
 {
-    const auto ports = cut_.ports ? cut_.ports() : std::set<std::uint16_t>{};
+    const auto ports =
+        partition_.ports ? partition_.ports() : std::set<std::uint16_t>{};
     const auto latest = system_boot_clock{}.now() - port_cache_time;
     for (auto& each : pairs_) {
-        if (each.closed || (cut_.ports && each.accepted_at > latest)) {
+        if (each.closed || (partition_.ports && each.accepted_at > latest)) {
             continue;
         }
-        each.cut = ports.count(each.client_port) > 0;
-        if (each.cut && cut_.reset) {
+        each.partitioned = ports.count(each.client_port) > 0;
+        if (each.partitioned && partition_.reset) {
             close(each, true);
         } else {
             forward(each);
@@ -102,7 +103,7 @@
 
 void proxy::forward(connection_pair& connection)
 {
-    if (condition_ == link_condition::silent || connection.cut) {
+    if (condition_ == link_condition::silent || connection.partitioned) {
         return;
     }
     bufferevent_write_buffer(
@@ -140,7 +141,8 @@
     auto& self = *connection.owner;
     if ((events & BEV_EVENT_CONNECTED) != 0) {
         self.forward(connection);
-    } else if (self.condition_ != link_condition::silent && !connection.cut) {
+    } else if (self.condition_ != link_condition::silent &&
+               !connection.partitioned) {
         self.forward(connection);
         self.close(connection, (events & BEV_EVENT_ERROR) != 0);
     }
--- a/fakes/site/proxy.hpp
+++ b/fakes/site/proxy.hpp
@@ -21,7 +21,7 @@
 inline constexpr milliseconds port_cache_time{100};
 
 // The connections of some clients that a proxy cuts off, while the others pass.
-struct client_cut {
+struct client_partition {
     // The ports of the clients, as they were at most port_cache_time ago.
     std::function<std::set<std::uint16_t>()> ports;
     bool reset = false; // else their connections hang
@@ -36,7 +36,7 @@
     void set_condition(link_condition condition,
                        duration delay = milliseconds{50});
     // Cuts off these clients until the cut without ports.
-    void cut_clients(const client_cut& cut);
+    void partition_clients(const client_partition& partition);
     // Resets all open connections. New connections are accepted.
     void reset_connections();
 
@@ -49,7 +49,7 @@
         bool closed = false;
         std::uint16_t client_port = 0;
         boot_time accepted_at{};
-        bool cut = false; // of a client that is cut off, or not known yet
+        bool partitioned = false; // of a client that is, or not known yet
     };
 
     static void accept(evconnlistener* listener, evutil_socket_t socket,
@@ -75,7 +75,7 @@
     shell::event_handle classify_timer_; // while there is a cut
     link_condition condition_ = link_condition::normal;
     duration delay_{0};
-    client_cut cut_;
+    client_partition partition_;
 };
 
 } // namespace bulrushspring::site
--- a/fakes/site/site.cpp
+++ b/fakes/site/site.cpp
@@ -101,7 +101,7 @@
         created.server = std::make_unique<leaf>(base_, settings, runs,
                                                 options_.seed + leaf_count_);
         created.link = std::make_unique<proxy>(base_, link, server);
-        created.link->cut_clients(cut_);
+        created.link->partition_clients(partition_);
         auto item = json::parse(created.server->published(false));
         item["address"] = to_string(link);
         created.published = item.dump();
@@ -171,33 +171,33 @@
     }
 }
 
-void installation::cut_from_leafs(daemon& node, bool reset)
+void installation::partition_from_leafs(daemon& node, bool reset)
 {
-    node.cut_since = system_boot_clock{}.now();
-    node.cut_reported = false;
-    cut_.reset = reset;
+    node.partitioned_since = system_boot_clock{}.now();
+    node.partition_reported = false;
+    partition_.reset = reset;
     ports_read_at_ = {};
-    cut_.ports = [this, &node] {
+    partition_.ports = [this, &node] {
         const auto now = system_boot_clock{}.now();
         if (now - ports_read_at_ >= port_cache_time) {
             ports_read_at_ = now;
-            cut_ports_ = ports_of(std::span(&node.process, 1));
+            partitioned_ports_ = ports_of(std::span(&node.process, 1));
         }
-        return cut_ports_;
+        return partitioned_ports_;
     };
     for (auto& each : leafs) {
-        each.link->cut_clients(cut_);
+        each.link->partition_clients(partition_);
     }
 }
 
-void installation::heal_cut()
+void installation::heal_partition()
 {
-    cut_ = {};
+    partition_ = {};
     for (auto& each : daemons) {
-        each.cut_since = boot_time::max();
+        each.partitioned_since = boot_time::max();
     }
     for (auto& each : leafs) {
-        each.link->cut_clients(cut_);
+        each.link->partition_clients(partition_);
     }
 }
 
--- a/fakes/site/site.hpp
+++ b/fakes/site/site.hpp
@@ -30,8 +30,8 @@
     bool stopping = false;  // SIGTERM has been sent
     boot_time stopped_at{}; // the time of the first SIGTERM
     bool overdue = false;   // ran longer after SIGTERM than it may
-    boot_time cut_since = boot_time::max(); // from all leafs
-    bool cut_reported = false; // callers were sent to it nevertheless
+    boot_time partitioned_since = boot_time::max(); // from all leafs
+    bool partition_reported = false; // callers were sent to it nevertheless
     bool paused = false;
     boot_time paused_at{};
     // Failures that callers see before this time may be caused by injected
@@ -72,8 +72,8 @@
     bool reap();
     // Cuts the daemon off from all leafs, or heals the cut that holds. One is
     // cut off at a time.
-    void cut_from_leafs(daemon& node, bool reset);
-    void heal_cut();
+    void partition_from_leafs(daemon& node, bool reset);
+    void heal_partition();
     // Replaces all shards by the same number of new ones and publishes that.
     void reshard();
     // Publishes the newest content of the records of these keys again.
@@ -109,8 +109,8 @@
     std::uint64_t version_ = 0;
     std::string table_; // the newest published
     std::uint32_t leaf_count_ = 0;
-    client_cut cut_; // that holds now
-    std::set<std::uint16_t> cut_ports_;
+    client_partition partition_; // that holds now
+    std::set<std::uint16_t> partitioned_ports_;
     boot_time ports_read_at_{};
 };
 
--- a/fakes/site/soak.cpp
+++ b/fakes/site/soak.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds settling_time{4000};
 // After this time, callers have to be directed away from a daemon that is cut
 // off from all leafs; directories are asked again within a second.
-constexpr milliseconds cut_grace{5000};
+constexpr milliseconds partition_grace{5000};
 // bounds.graceS, as site.cpp writes it into the daemons' settings.
 constexpr seconds stop_grace{6};
 // Service has recovered when this many of the last 100 requests succeeded.
@@ -107,7 +107,7 @@
                                             " s after SIGTERM: " + each.name);
             }
         }
-        check_cut();
+        check_partition();
         for (auto& each : site.leafs) {
             if (each.server->arrivals_over_limit() > 0 && !each.over_limit) {
                 each.over_limit = true;
@@ -125,24 +125,25 @@
 
     // A daemon that has been cut off from the leafs for the users' grace time
     // must not be named to callers while another one is undisturbed.
-    void check_cut()
+    void check_partition()
     {
         const auto now = clock.now();
         const bool others_serve = std::any_of(
             site.daemons.begin(), site.daemons.end(), [&](const auto& each) {
                 return each.process > 0 && !each.stopping && !each.paused &&
-                       each.cut_since == boot_time::max() &&
+                       each.partitioned_since == boot_time::max() &&
                        now > each.disturbed_until;
             });
         for (const auto number : load.usable()) {
             auto& each = site.daemons[number];
-            if (others_serve && !each.cut_reported && !each.stopping &&
-                each.cut_since < now - cut_grace &&
+            if (others_serve && !each.partition_reported && !each.stopping &&
+                each.partitioned_since < now - partition_grace &&
                 now > each.disturbed_until) {
-                each.cut_reported = true;
+                each.partition_reported = true;
                 report.violations.push_back(
                     "named to callers " +
-                    std::to_string(to_milliseconds(now - each.cut_since)) +
+                    std::to_string(
+                        to_milliseconds(now - each.partitioned_since)) +
                     " ms after it was cut off: " + each.name);
             }
         }
@@ -273,22 +274,22 @@
 
     // Cuts a daemon off from all leafs, while callers, store and peers reach
     // it.
-    void inject_cut()
+    void inject_partition()
     {
         auto& node = site.daemons[random_index(site.daemons.size())];
-        const bool cut_holds = std::any_of(
+        const bool partition_holds = std::any_of(
             site.daemons.begin(), site.daemons.end(), [](const auto& each) {
-                return each.cut_since != boot_time::max();
+                return each.partitioned_since != boot_time::max();
             });
-        if (cut_holds || node.process < 0) {
+        if (partition_holds || node.process < 0) {
             return;
         }
         const bool reset = random_index(2) == 0;
         log_fault(node.name + (reset ? " cut off from the leafs, reset"
                                      : " cut off from the leafs, silent"));
-        site.cut_from_leafs(node, reset);
+        site.partition_from_leafs(node, reset);
         schedule(random_duration(milliseconds{1000}, milliseconds{9000}),
-                 [this] { site.heal_cut(); });
+                 [this] { site.heal_partition(); });
     }
 
     // Each kind but the last sets the share of one fault; the last one makes
@@ -424,7 +425,7 @@
             inject_limit();
             return;
         case 8:
-            inject_cut();
+            inject_partition();
             return;
         default:
             change_configuration();
@@ -449,7 +450,7 @@
     void clear_faults()
     {
         log_fault("clear all faults");
-        site.heal_cut();
+        site.heal_partition();
         for (auto& each : site.leafs) {
             each.server->faults = {};
             each.link->set_condition(link_condition::normal);
--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -111,19 +111,20 @@
     "daemons together, or states another number. per_second=-1: it states "
     "none any more. `share` is what this daemon may send it. With readable=0 "
     "its last statement was not a number, and the earlier one still holds."};
-inline constexpr event_definition path_doubted{
-    8023, severity::warning, "path_doubted",
+inline constexpr event_definition path_suspected{
+    8023, severity::warning, "path_suspected",
     "silent_ms connects_fail failed_connects leafs",
     "No leaf has answered this daemon for silent_ms, of which `leafs` may be "
     "used, and connections to failed_connects of them have failed since. Peers "
     "are asked whether they reach leafs."};
 inline constexpr event_definition path_changed{
     8024, severity::warning, "path_changed",
-    "cut_off silent_ms peer_contact_ms return_after_ms",
-    "With cut_off=1 this daemon has lost its path to the leafs, while a peer "
+    "partitioned silent_ms peer_contact_ms hold_down_ms",
+    "With partitioned=1 this daemon has lost its path to the leafs, while a "
+    "peer "
     "has had contact with one peer_contact_ms ago: callers are directed to "
-    "other daemons. With cut_off=0 there has been contact again for "
-    "return_after_ms, and callers return."};
+    "other daemons. With partitioned=0 there has been contact again for "
+    "hold_down_ms, and callers return."};
 
 inline constexpr std::array all_events = {
     &gateway_started,  &table_in_force,      &stop_begun,
@@ -133,7 +134,7 @@
     &sending_given_up, &leaf_unreachable,    &input_refused,
     &load_changed,     &leaf_states_leaving, &leaf_paused,
     &part_unavailable, &leaf_crash_checked,  &request_poisonous,
-    &leaf_rate_stated, &path_doubted,        &path_changed,
+    &leaf_rate_stated, &path_suspected,      &path_changed,
 };
 
 } // namespace bulrushspring::gateway
--- a/libraries/gateway/fleet.cpp
+++ b/libraries/gateway/fleet.cpp
@@ -58,9 +58,11 @@
                    : member.status != wire::member_status::alive &&
                          !self.members.isolated;
     });
-    const auto is_cut_off = [](const auto& member) { return member.cut_off; };
-    if (!std::all_of(live.begin(), live.end(), is_cut_off)) {
-        std::erase_if(live, is_cut_off);
+    const auto is_partitioned = [](const auto& member) {
+        return member.partitioned;
+    };
+    if (!std::all_of(live.begin(), live.end(), is_partitioned)) {
+        std::erase_if(live, is_partitioned);
     }
     return live;
 }
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -92,11 +92,12 @@
 
 // Announces that this daemon has lost its path to the leafs, or has it again.
 // Callers can send what is in progress to another daemon.
-void apply_reach(state& self, context& context)
+void apply_reachability(state& self, context& context)
 {
-    membership::set_cut_off(self.members, self.reach.cut_off, context.now);
+    membership::set_partitioned(self.members, self.reachability.partitioned,
+                                context.now);
     update_serving_set(self, context.now);
-    if (self.reach.cut_off) {
+    if (self.reachability.partitioned) {
         auto exchanges = make_step(self, context);
         finish_repeatable(exchanges);
     }
@@ -119,9 +120,9 @@
     activate_table_if_prepared(self, context);
     auto exchanges = make_step(self, context);
     run_due_timers(exchanges);
-    if (review_reach(self.reach, exchanges,
-                     membership::view_of(self.members).members)) {
-        apply_reach(self, context);
+    if (review_reachability(self.reachability, exchanges,
+                            membership::view_of(self.members).members)) {
+        apply_reachability(self, context);
     }
 }
 
@@ -140,8 +141,8 @@
                context);
         return;
     }
-    if (is_out_of_reach(self.reach)) {
-        refuse(event, answer_kind::not_run, retry_after, "cut_off",
+    if (reaches_no_leaf(self.reachability)) {
+        refuse(event, answer_kind::not_run, retry_after, "partitioned",
                table->version, context);
         return;
     }
@@ -186,7 +187,7 @@
 
 void step(state& self, const leaf_replied& event, context& context)
 {
-    note_answer(self.reach, context.now);
+    note_answer(self.reachability, context.now);
     pass_to_exchanges(self, event, context);
 }
 
@@ -266,7 +267,7 @@
     } else if (std::holds_alternative<wire::leaf_contact_request>(
                    event.request)) {
         auto exchanges = make_step(self, context);
-        reply_to_question(self.reach, exchanges, event.token);
+        reply_to_contact_request(self.reachability, exchanges, event.token);
     }
 }
 
@@ -279,8 +280,8 @@
                          context.shared);
     finish_poison(self, context);
     auto exchanges = make_step(self, context);
-    if (handle_reach_reply(self.reach, exchanges, event)) {
-        apply_reach(self, context);
+    if (handle_contact_reply(self.reachability, exchanges, event)) {
+        apply_reachability(self, context);
     }
 }
 
@@ -291,7 +292,7 @@
     self.pool.settings = settings.pool;
     self.topology.settings = settings.topology;
     self.load.settings = settings.load;
-    self.reach.settings = settings.reach;
+    self.reachability.settings = settings.reachability;
     self.rates.sender.settings = settings.rates;
     self.spread.settings = settings.spread;
     self.spread.sender.settings = settings.spread.gossip;
@@ -355,7 +356,8 @@
     made.exchanges.settings = settings.exchanges;
     made.rates.sender = membership::make_gossip_sender(
         settings.rates, self.incarnation + 6, now);
-    made.reach = make_reach(settings.reach, self.incarnation + 5, now);
+    made.reachability =
+        make_reachability(settings.reachability, self.incarnation + 5, now);
     made.spread =
         poison::make_spread(settings.spread, self.incarnation + 4, now);
     return made;
@@ -385,7 +387,7 @@
     next = std::min(next, next_wakeup(self.pool));
     next = std::min(next, next_wakeup(self.exchanges));
     next = std::min(next, poison::next_wakeup(self.spread));
-    next = std::min(next, next_wakeup(self.reach));
+    next = std::min(next, next_wakeup(self.reachability));
     next = std::min(next, next_wakeup(self.rates));
     if (self.stop_requested_at && !self.stopped) {
         next = std::min(next, stop_deadline(self));
@@ -398,7 +400,7 @@
     const auto& own = membership::self_of(self.members);
     const bool others_serve = !serves(self.serving, own.name);
     return self.ready && !self.stop_requested_at &&
-           !(own.cut_off && others_serve);
+           !(own.partitioned && others_serve);
 }
 
 std::size_t in_progress(const state& self)
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -5,7 +5,7 @@
 #include "libraries/gateway/exchange.hpp"
 #include "libraries/gateway/load.hpp"
 #include "libraries/gateway/rate_spread.hpp"
-#include "libraries/gateway/reach.hpp"
+#include "libraries/gateway/reachability.hpp"
 #include "libraries/gateway/serving_set.hpp"
 #include "libraries/membership/membership.hpp"
 #include "libraries/poison/spread.hpp"
@@ -25,7 +25,7 @@
     serving_options serving;
     entry_options entries;
     load_options load;
-    reach_options reach;
+    reachability_options reachability;
     membership::gossip_options rates; // gossip of what leafs state
     poison::spread_options spread;
     // Processor share of this VM, in thousandths of a core; 0: unknown.
@@ -75,7 +75,7 @@
     exchanges_state exchanges;
     poison::spread_state spread; // of exchanges.poison
     load_state load;
-    reach_state reach;
+    gateway::reachability reachability;
     rate_spread rates; // of pool
     serving_set serving;
     random_source random;
--- a/libraries/gateway/reach.cpp
+++ b/libraries/gateway/reachability.cpp
@@ -1,4 +1,4 @@
-#include "libraries/gateway/reach.hpp"
+#include "libraries/gateway/reachability.hpp"
 
 #include "libraries/gateway/connection_quota.hpp"
 #include "libraries/gateway/events.hpp"
@@ -11,7 +11,7 @@
 {
 
 // The leafs that this daemon may use, in random order.
-std::vector<leaf_state*> usable_leafs(reach_state& reach, leaf_pool& pool,
+std::vector<leaf_state*> usable_leafs(reachability& reach, leaf_pool& pool,
                                       boot_time now)
 {
     std::vector<leaf_state*> leafs;
@@ -26,15 +26,15 @@
 
 // Whether a connection that was opened recently, and since the doubt began, is
 // still open.
-bool keeps_new_connection(const reach_state& reach, const leaf_pool& pool,
+bool keeps_new_connection(const reachability& reach, const leaf_pool& pool,
                           boot_time now)
 {
     const auto& settings = reach.settings;
     auto earliest = now - settings.recent_contact;
-    if (reach.cut_off) {
-        earliest = std::max(earliest, reach.cut_off_at);
-    } else if (reach.doubt_since != boot_time::max()) {
-        earliest = std::max(earliest, reach.doubt_since);
+    if (reach.partitioned) {
+        earliest = std::max(earliest, reach.partitioned_at);
+    } else if (reach.suspected_since != boot_time::max()) {
+        earliest = std::max(earliest, reach.suspected_since);
     }
     return std::any_of(pool.connections.begin(), pool.connections.end(),
                        [&](const auto& each) {
@@ -95,7 +95,7 @@
     return open_check(step.pool, leaf, step.context);
 }
 
-void check_leafs(reach_state& reach, exchange_step& step,
+void check_leafs(reachability& reach, exchange_step& step,
                  std::span<leaf_state* const> leafs, std::size_t count)
 {
     if (step.context.now < reach.check_at) {
@@ -107,12 +107,13 @@
     }
 }
 
-void ask_peers(reach_state& reach, exchange_step& step,
+void ask_peers(reachability& reach, exchange_step& step,
                std::span<const wire::member_record> live)
 {
     std::vector<const wire::member_record*> peers;
     for (std::size_t i = 1; i < live.size(); ++i) {
-        if (live[i].status == wire::member_status::alive && !live[i].cut_off) {
+        if (live[i].status == wire::member_status::alive &&
+            !live[i].partitioned) {
             peers.push_back(&live[i]);
         }
     }
@@ -132,7 +133,7 @@
     bool silent = false; // although connects may succeed
 };
 
-evidence collect_evidence(const reach_state& reach, const exchange_step& step,
+evidence collect_evidence(const reachability& reach, const exchange_step& step,
                           std::span<leaf_state* const> leafs)
 {
     const auto& settings = reach.settings;
@@ -141,9 +142,9 @@
     };
     evidence found;
     found.connects_fail =
-        reach.contact_at < reach.doubt_since &&
-        reach.doubt_since != boot_time::max() &&
-        step.context.now - reach.doubt_since >= settings.check_time &&
+        reach.contact_at < reach.suspected_since &&
+        reach.suspected_since != boot_time::max() &&
+        step.context.now - reach.suspected_since >= settings.check_time &&
         count_failed_connects(leafs, reach.contact_at) >=
             expected(settings.checked_leafs);
     const auto now = step.context.now;
@@ -158,31 +159,31 @@
 }
 
 // Whether contact was due and there was none.
-bool is_in_doubt(const reach_state& reach, const exchange_step& step)
+bool is_suspicious(const reachability& reach, const exchange_step& step)
 {
     const auto& settings = reach.settings;
     // After a check has succeeded, the next one may wait.
     const bool checked = reach.contact_at > reach.answered_at;
     const auto limit =
-        checked ? settings.next_doubt_after : settings.doubt_after;
+        checked ? settings.next_suspect_after : settings.suspect_after;
     return step.context.now - reach.contact_at >= limit &&
            (any_connection_failed(step.pool, reach.contact_at) ||
-            count_silent_leafs(step, settings.doubt_after, reach.contact_at) >
+            count_silent_leafs(step, settings.suspect_after, reach.contact_at) >
                 0);
 }
 
-void review_doubt(reach_state& reach, exchange_step& step,
-                  std::span<const wire::member_record> live)
+void review_suspicion(reachability& reach, exchange_step& step,
+                      std::span<const wire::member_record> live)
 {
     const auto now = step.context.now;
-    if (now - reach.answered_at < reach.settings.doubt_after) {
-        reach.doubt_since = boot_time::max();
+    if (now - reach.answered_at < reach.settings.suspect_after) {
+        reach.suspected_since = boot_time::max();
         reach.questions.clear();
         return;
     }
-    const bool doubt = is_in_doubt(reach, step);
-    reach.doubt_since =
-        doubt ? std::min(reach.doubt_since, now) : boot_time::max();
+    const bool doubt = is_suspicious(reach, step);
+    reach.suspected_since =
+        doubt ? std::min(reach.suspected_since, now) : boot_time::max();
     const auto leafs = usable_leafs(reach, step.pool, now);
     const auto found = collect_evidence(reach, step, leafs);
     if (leafs.empty() || now < reach.check_at) {
@@ -190,7 +191,7 @@
     }
     if (found.connects_fail || found.silent) {
         step.context.log(make_record(
-            path_doubted,
+            path_suspected,
             field("silent_ms", to_milliseconds(now - reach.answered_at)),
             field("connects_fail", found.connects_fail ? 1 : 0),
             field("failed_connects",
@@ -203,19 +204,19 @@
     }
 }
 
-void log_change(const reach_state& reach, exchange_step& step,
+void log_change(const reachability& reach, exchange_step& step,
                 std::int64_t peer_contact_ms)
 {
     const auto now = step.context.now;
     step.context.log(make_record(
-        path_changed, field("cut_off", reach.cut_off ? 1 : 0),
+        path_changed, field("partitioned", reach.partitioned ? 1 : 0),
         field("silent_ms", to_milliseconds(now - reach.answered_at)),
         field("peer_contact_ms", peer_contact_ms),
-        field("return_after_ms", to_milliseconds(reach.return_after))));
+        field("hold_down_ms", to_milliseconds(reach.hold_down))));
 }
 
 // Whether this daemon has returned, after contact for long enough.
-bool review_return(reach_state& reach, exchange_step& step)
+bool review_recovery(reachability& reach, exchange_step& step)
 {
     const auto now = step.context.now;
     const auto& settings = reach.settings;
@@ -224,17 +225,17 @@
     if (now - reach.contact_at > 2 * settings.recent_contact) {
         reach.contact_since = boot_time::max();
     } else if (reach.contact_since == boot_time::max() &&
-               reach.contact_at > reach.cut_off_at) {
+               reach.contact_at > reach.partitioned_at) {
         reach.contact_since = now;
         forget_failures(step.pool, now);
     }
     if (reach.contact_since == boot_time::max() ||
-        now - reach.contact_since < reach.return_after) {
+        now - reach.contact_since < reach.hold_down) {
         return false;
     }
-    reach.cut_off = false;
-    reach.doubt_since = boot_time::max();
-    reach.returned_at = now;
+    reach.partitioned = false;
+    reach.suspected_since = boot_time::max();
+    reach.recovered_at = now;
     log_change(reach, step, -1);
     reach.answered_at = now; // from which silence counts again
     return true;
@@ -242,48 +243,48 @@
 
 } // namespace
 
-reach_state make_reach(const reach_options& settings, std::uint64_t seed,
-                       boot_time now)
+reachability make_reachability(const reachability_options& settings,
+                               std::uint64_t seed, boot_time now)
 {
-    reach_state made;
+    reachability made;
     made.settings = settings;
     made.random.seed(seed);
     made.answered_at = now;
     made.contact_at = now;
     made.review_at = now;
-    made.return_after = settings.return_after;
+    made.hold_down = settings.hold_down;
     return made;
 }
 
-void note_answer(reach_state& reach, boot_time now)
+void note_answer(reachability& reach, boot_time now)
 {
     reach.answered_at = now;
     reach.contact_at = now;
 }
 
-bool review_reach(reach_state& reach, exchange_step& step,
-                  std::span<const wire::member_record> live)
+bool review_reachability(reachability& reach, exchange_step& step,
+                         std::span<const wire::member_record> live)
 {
     const auto now = step.context.now;
     if (now < reach.review_at) {
         return false;
     }
-    const bool busy =
-        reach.cut_off || step.pool.opening > 0 || !step.state.attempts.empty();
+    const bool busy = reach.partitioned || step.pool.opening > 0 ||
+                      !step.state.attempts.empty();
     reach.review_at = now + (busy ? reach.settings.review_interval
                                   : reach.settings.idle_review_interval);
     if (keeps_new_connection(reach, step.pool, now)) {
         reach.contact_at = now;
     }
-    if (reach.cut_off) {
-        return review_return(reach, step);
+    if (reach.partitioned) {
+        return review_recovery(reach, step);
     }
-    review_doubt(reach, step, live);
+    review_suspicion(reach, step, live);
     return false;
 }
 
-void reply_to_question(reach_state& reach, exchange_step& step,
-                       peer_token token)
+void reply_to_contact_request(reachability& reach, exchange_step& step,
+                              peer_token token)
 {
     const auto now = step.context.now;
     step.context.shared.emit(reply_to_peer{
@@ -294,11 +295,11 @@
     }
 }
 
-bool handle_reach_reply(reach_state& reach, exchange_step& step,
-                        const peer_reply_received& event)
+bool handle_contact_reply(reachability& reach, exchange_step& step,
+                          const peer_reply_received& event)
 {
     if (reach.questions.erase(event.exchange) == 0 || !event.reply ||
-        reach.cut_off) {
+        reach.partitioned) {
         return false;
     }
     const auto* reply =
@@ -313,33 +314,33 @@
     };
     const auto found =
         collect_evidence(reach, step, usable_leafs(reach, step.pool, now));
-    const bool cut_off =
+    const bool partitioned =
         (found.connects_fail &&
          leads(reply->contact_ms_ago, reach.contact_at, settings.min_lead)) ||
         (found.silent && leads(reply->answered_ms_ago, reach.answered_at,
                                settings.min_silent_lead));
-    if (!cut_off) {
+    if (!partitioned) {
         return false;
     }
-    const bool flapping = reach.returned_at != boot_time::min() &&
-                          now - reach.returned_at < settings.flapping_time;
-    reach.return_after =
-        flapping ? std::min(2 * reach.return_after, settings.max_return_after)
-                 : settings.return_after;
-    reach.cut_off = true;
-    reach.cut_off_at = now;
+    const bool flapping = reach.recovered_at != boot_time::min() &&
+                          now - reach.recovered_at < settings.flap_window;
+    reach.hold_down =
+        flapping ? std::min(2 * reach.hold_down, settings.max_hold_down)
+                 : settings.hold_down;
+    reach.partitioned = true;
+    reach.partitioned_at = now;
     reach.contact_since = boot_time::max();
     reach.questions.clear();
     log_change(reach, step, reply->contact_ms_ago);
     return true;
 }
 
-bool is_out_of_reach(const reach_state& reach)
+bool reaches_no_leaf(const reachability& reach)
 {
-    return reach.cut_off && reach.contact_since == boot_time::max();
+    return reach.partitioned && reach.contact_since == boot_time::max();
 }
 
-boot_time next_wakeup(const reach_state& reach)
+boot_time next_wakeup(const reachability& reach)
 {
     return reach.review_at;
 }
--- a/libraries/gateway/reach.hpp
+++ b/libraries/gateway/reachability.hpp
@@ -1,5 +1,5 @@
-#ifndef BULRUSHSPRING_LIBRARIES_GATEWAY_REACH_HPP
-#define BULRUSHSPRING_LIBRARIES_GATEWAY_REACH_HPP
+#ifndef BULRUSHSPRING_LIBRARIES_GATEWAY_REACHABILITY_HPP
+#define BULRUSHSPRING_LIBRARIES_GATEWAY_REACHABILITY_HPP
 
 #include "libraries/gateway/exchange.hpp"
 
@@ -17,11 +17,11 @@
 namespace bulrushspring::gateway
 {
 
-struct reach_options {
+struct reachability_options {
     // No answer for this long, although one was due, raises doubt.
-    duration doubt_after = milliseconds{300};
+    duration suspect_after = milliseconds{300};
     // The same, once a check has found the path to hold.
-    duration next_doubt_after = milliseconds{1000};
+    duration next_suspect_after = milliseconds{1000};
     // The same, when leafs accept connections but answer nothing on them.
     duration silent_after = milliseconds{1500};
     duration unanswered_after = milliseconds{1300}; // of one attempt
@@ -47,51 +47,52 @@
     duration min_silent_lead = milliseconds{1000};
     // How long contact has to last before callers return. Doubled, up to the
     // maximum, each time that the daemon is cut off again soon after.
-    duration return_after = milliseconds{1000};
-    duration max_return_after = seconds{8};
-    duration flapping_time = seconds{20};
+    duration hold_down = milliseconds{1000};
+    duration max_hold_down = seconds{8};
+    duration flap_window = seconds{20};
 };
 
-struct reach_state {
-    reach_options settings;
+struct reachability {
+    reachability_options settings;
     random_source random;
     boot_time answered_at{};
     boot_time contact_at{}; // a leaf answered, or keeps a new connection open
-    boot_time doubt_since = boot_time::max();
-    bool cut_off = false;
-    boot_time cut_off_at{};
+    boot_time suspected_since = boot_time::max();
+    bool partitioned = false;
+    boot_time partitioned_at{};
     // Since when there has been contact again while cut off.
     boot_time contact_since = boot_time::max();
-    boot_time returned_at = boot_time::min();
-    duration return_after{0};
+    boot_time recovered_at = boot_time::min();
+    duration hold_down{0};
     boot_time review_at{};
     boot_time check_at{};
     std::set<exchange_id> questions; // to peers, not answered yet
 };
 
-reach_state make_reach(const reach_options&, std::uint64_t seed, boot_time now);
+reachability make_reachability(const reachability_options&, std::uint64_t seed,
+                               boot_time now);
 
 // Notes that a leaf has answered.
-void note_answer(reach_state&, boot_time now);
+void note_answer(reachability&, boot_time now);
 
 // Checks the path if there is doubt, and decides about the return. `live` are
 // the live members, of which the first is this daemon. Returns true if
-// `cut_off` has changed.
-bool review_reach(reach_state&, exchange_step&,
-                  std::span<const wire::member_record> live);
+// `partitioned` has changed.
+bool review_reachability(reachability&, exchange_step&,
+                         std::span<const wire::member_record> live);
 
 // Tells a peer about the last contact with a leaf, and checks the path if that
 // was long ago.
-void reply_to_question(reach_state&, exchange_step&, peer_token);
+void reply_to_contact_request(reachability&, exchange_step&, peer_token);
 
-// Takes a peer's reply. Returns true if `cut_off` has changed.
-bool handle_reach_reply(reach_state&, exchange_step&,
-                        const peer_reply_received&);
+// Takes a peer's reply. Returns true if `partitioned` has changed.
+bool handle_contact_reply(reachability&, exchange_step&,
+                          const peer_reply_received&);
 
 // Whether requests are to be refused, since no leaf is reached.
-bool is_out_of_reach(const reach_state&);
+bool reaches_no_leaf(const reachability&);
 
-boot_time next_wakeup(const reach_state&);
+boot_time next_wakeup(const reachability&);
 
 } // namespace bulrushspring::gateway
 
--- a/libraries/membership/membership.cpp
+++ b/libraries/membership/membership.cpp
@@ -357,10 +357,10 @@
     announce(membership, self, now);
 }
 
-void set_cut_off(state& membership, bool cut_off, boot_time now)
+void set_partitioned(state& membership, bool partitioned, boot_time now)
 {
     auto self = self_record(membership);
-    self.cut_off = cut_off;
+    self.partitioned = partitioned;
     announce(membership, self, now);
 }
 
--- a/libraries/membership/membership.hpp
+++ b/libraries/membership/membership.hpp
@@ -48,7 +48,7 @@
 void set_overloaded(state&, bool overloaded, boot_time now);
 
 // Announces to all members whether this daemon reaches no leaf while others do.
-void set_cut_off(state&, bool cut_off, boot_time now);
+void set_partitioned(state&, bool partitioned, boot_time now);
 
 // Announces to all members a new size of this daemon's VM, in thousandths of a
 // core.
--- a/libraries/wire/message.hpp
+++ b/libraries/wire/message.hpp
@@ -58,7 +58,7 @@
     member_status status = member_status::alive;
     std::uint32_t capacity = 0; // thousandths of a core; 0 if unknown
     bool overloaded = false;    // callers wait for its processor
-    bool cut_off = false;       // it reaches no leaf, while others do
+    bool partitioned = false;   // it reaches no leaf, while others do
 
     bool operator==(const member_record&) const = default;
 };
--- a/libraries/wire/serialize.hpp
+++ b/libraries/wire/serialize.hpp
@@ -173,10 +173,10 @@
 inline constexpr std::uint8_t has_caller_address = 0x04;
 inline constexpr std::uint8_t has_operators_address = 0x08;
 inline constexpr std::uint8_t overloaded_bit = 0x10;
-inline constexpr std::uint8_t cut_off_bit = 0x20;
+inline constexpr std::uint8_t partitioned_bit = 0x20;
 inline constexpr std::uint8_t all_flags = status_bits | has_caller_address |
                                           has_operators_address |
-                                          overloaded_bit | cut_off_bit;
+                                          overloaded_bit | partitioned_bit;
 
 inline std::uint8_t record_flags(const member_record& record)
 {
@@ -190,8 +190,8 @@
     if (record.overloaded) {
         flags |= overloaded_bit;
     }
-    if (record.cut_off) {
-        flags |= cut_off_bit;
+    if (record.partitioned) {
+        flags |= partitioned_bit;
     }
     return flags;
 }
@@ -227,7 +227,7 @@
     }
     record.status = static_cast<member_status>(flags & status_bits);
     record.overloaded = (flags & overloaded_bit) != 0;
-    record.cut_off = (flags & cut_off_bit) != 0;
+    record.partitioned = (flags & partitioned_bit) != 0;
     archive(bounded_text{record.name, max_name_bytes},
             bounded_text{record.data_centre, max_name_bytes},
             bounded_text{record.region, max_name_bytes});
--- a/tests/experiment/experiment_test.cpp
+++ b/tests/experiment/experiment_test.cpp
@@ -91,16 +91,18 @@
 // leafs, while other daemons could have served them.
 BOOST_AUTO_TEST_CASE(callers_leave_daemons_that_reach_no_leaf)
 {
-    for (const char* name : {"cut-daemons-silent", "cut-daemons-reset",
-                             "cut-daemons-refuse_new"}) {
+    for (const char* name :
+         {"partitioned-daemons-silent", "partitioned-daemons-reset",
+          "partitioned-daemons-refuse-new"}) {
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
             const auto sum = play(example(name), seed);
-            const auto asked = sum.asked_at_cut + sum.asked_at_others;
-            const auto failed = sum.asked_at_cut - sum.served_at_cut;
+            const auto asked = sum.asked_in_partition + sum.asked_at_others;
+            const auto failed =
+                sum.asked_in_partition - sum.served_in_partition;
             BOOST_TEST(failed <= 10U + asked / 50,
                        name << ", seed " << seed << ": " << failed << " of "
-                            << sum.asked_at_cut
-                            << " failed at daemons cut off, " << asked
+                            << sum.asked_in_partition
+                            << " failed at daemons partition off, " << asked
                             << " in all");
             BOOST_TEST(static_cast<double>(sum.served_at_others) >=
                        0.9 * static_cast<double>(sum.asked_at_others));
@@ -111,11 +113,12 @@
 // If the leafs are down for all, no daemon may be left with all callers.
 BOOST_AUTO_TEST_CASE(no_daemon_leaves_if_all_are_cut_off)
 {
-    auto plan = example("cut-daemons-silent");
-    plan.cuts.front().daemons = plan.daemons;
-    plan.cuts.front().span = seconds{6};
+    auto plan = example("partitioned-daemons-silent");
+    plan.partitions.front().daemons = plan.daemons;
+    plan.partitions.front().span = seconds{6};
     const auto sum = play(plan, 1);
-    const auto last = plan.cuts.front().from + plan.cuts.front().span;
+    const auto last =
+        plan.partitions.front().from + plan.partitions.front().span;
     BOOST_TEST(last < plan.span + plan.warm_up);
     BOOST_TEST(sum.in_time * 2 > sum.asked);
 }
--- a/tests/gateway/reach_test.cpp
+++ b/tests/gateway/reachability_test.cpp
@@ -55,7 +55,10 @@
         }
     }
 
-    bool cut_off() const { return membership::self_of(state.members).cut_off; }
+    bool partitioned() const
+    {
+        return membership::self_of(state.members).partitioned;
+    }
 
     std::size_t count_refused()
     {
@@ -73,7 +76,7 @@
     a_daemon_leaves_if_a_peer_reaches_leafs_that_it_does_not, reach_fixture)
 {
     lose_leafs(milliseconds{900}, milliseconds{10});
-    BOOST_TEST(cut_off());
+    BOOST_TEST(partitioned());
     BOOST_TEST(!accepts_callers(state));
     // Known to be unservable: refused at once.
     effects.clear();
@@ -87,14 +90,14 @@
                         reach_fixture)
 {
     lose_leafs(seconds{3}, seconds{60});
-    BOOST_TEST(!cut_off());
+    BOOST_TEST(!partitioned());
     BOOST_TEST(accepts_callers(state));
 }
 
 BOOST_FIXTURE_TEST_CASE(a_daemon_stays_if_no_peer_answers, reach_fixture)
 {
     lose_leafs(seconds{3}, std::nullopt);
-    BOOST_TEST(!cut_off());
+    BOOST_TEST(!partitioned());
 }
 
 // Slow leafs are no lost path: connects to them succeed.
@@ -115,7 +118,7 @@
             reply(unanswered.front(), "0123456789abcdef");
             unanswered.erase(unanswered.begin());
         }
-        BOOST_TEST(!cut_off());
+        BOOST_TEST(!partitioned());
     }
 }
 
@@ -146,7 +149,7 @@
             }
         }
         answer_questions(milliseconds{10});
-        BOOST_TEST(!cut_off());
+        BOOST_TEST(!partitioned());
     }
 }
 
@@ -163,28 +166,28 @@
         }
         answer_questions(milliseconds{10});
     }
-    BOOST_TEST(cut_off());
+    BOOST_TEST(partitioned());
 }
 
 BOOST_FIXTURE_TEST_CASE(callers_return_once_the_path_has_held, reach_fixture)
 {
     lose_leafs(milliseconds{900}, milliseconds{10});
-    BOOST_REQUIRE(cut_off());
+    BOOST_REQUIRE(partitioned());
     return_path(milliseconds{700});
-    BOOST_TEST(cut_off());
+    BOOST_TEST(partitioned());
     // Requests that still arrive are served meanwhile.
     effects.clear();
     send_request("/q/x");
     BOOST_TEST(!take<send_to_leaf>().empty());
     return_path(milliseconds{1000});
-    BOOST_TEST(!cut_off());
+    BOOST_TEST(!partitioned());
     BOOST_TEST(accepts_callers(state));
     // What has failed before does not count again.
     for (int i = 0; i < 30; ++i) {
         return_path(milliseconds{100});
         answer_questions(milliseconds{10});
     }
-    BOOST_TEST(!cut_off());
+    BOOST_TEST(!partitioned());
 }
 
 BOOST_FIXTURE_TEST_CASE(a_flapping_path_keeps_callers_away_for_longer,
@@ -192,13 +195,13 @@
 {
     lose_leafs(milliseconds{900}, milliseconds{10});
     return_path(milliseconds{1800});
-    BOOST_REQUIRE(!cut_off());
+    BOOST_REQUIRE(!partitioned());
     lose_leafs(milliseconds{1500}, milliseconds{10});
-    BOOST_REQUIRE(cut_off());
+    BOOST_REQUIRE(partitioned());
     return_path(milliseconds{1800});
-    BOOST_TEST(cut_off());
+    BOOST_TEST(partitioned());
     return_path(milliseconds{1000});
-    BOOST_TEST(!cut_off());
+    BOOST_TEST(!partitioned());
 }
 
 // It may have run: the caller of a non-idempotent request can't send it to
--- a/tests/poison/spread_test.cpp
+++ b/tests/poison/spread_test.cpp
@@ -169,7 +169,8 @@
     const poison::spread_options limits;
     const std::chrono::duration<double> span = simulation->network.now - began;
     BOOST_TEST(static_cast<double>(most_bytes_sent(*simulation)) <=
-               limits.gossip.bytes_burst + limits.gossip.bytes_per_second * span.count());
+               limits.gossip.bytes_burst +
+                   limits.gossip.bytes_per_second * span.count());
     BOOST_TEST_MESSAGE("known everywhere after "
                        << to_milliseconds(taken) << " ms, most sent by one "
                        << most_bytes_sent(*simulation) << " bytes in "
