gateway: Count silence from the first unanswered request; recover by answers

Cause, from its log: it left after 1.6 s, and returned 1.3 s later, because a connection that is kept for 50 ms counted as contact although a proxy had accepted it. To leave again it needed 3.4 s more: only attempts unanswered for 1.3 s counted, and they were given up and their connections closed earlier.

Silence now counts from the first request since the last answer, whatever became of its connection, and leafs at which attempts were given up count. A daemon that left although its connects succeed returns only after answers; it sends health checks for them, one on an idle connection of up to three leafs each 200 ms, without a request id and charged to a stated rate. A peer proves more by an answer a second after that first request than by one after the last answer.

Ruled out: longer survival times for connections (a proxy keeps them for ever).

accepted_connections_alone_do_not_bring_callers_back and a_daemon_leaves_although_silent_connections_are_replaced failed before, pass now; all 26 test programs pass (121 s).

--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -114,16 +114,15 @@
 inline constexpr event_definition path_suspected{
     8023, severity::warning, "path_suspected",
     "silent_ms connects_fail failed_connects leafs",
-    "No leaf has answered this daemon for silent_ms, of which `leafs` may be "
-    "used, and connections to failed_connects of them have failed since. Peers "
-    "are asked whether they reach leafs."};
+    "None of `leafs` usable leafs has answered this daemon for silent_ms, and "
+    "connections to failed_connects of them have failed since. Peers are asked "
+    "whether they reach leafs. connects_fail=0: leafs accept connections."};
 inline constexpr event_definition path_changed{
     8024, severity::warning, "path_changed",
     "partitioned silent_ms peer_contact_ms hold_down_ms",
     "With partitioned=1 this daemon has lost its path to the leafs, while a "
-    "peer "
-    "has had contact with one peer_contact_ms ago: callers are directed to "
-    "other daemons. With partitioned=0 there has been contact again for "
+    "peer has had contact with one peer_contact_ms ago: callers are directed "
+    "to other daemons. With partitioned=0 there has been contact again for "
     "hold_down_ms, and callers return."};
 
 inline constexpr std::array all_events = {
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -275,6 +275,16 @@
     advance(step, exchange);
 }
 
+// Keeps an answered connection, unless it can't be used again.
+void end_request(exchange_step& step, const leaf_replied& event)
+{
+    if (event.reusable) {
+        release(step.pool, event.connection, event.reply, step.context);
+    } else {
+        remove_connection(step.pool, event.connection, false, step.context);
+    }
+}
+
 // Closes the connections of abandoned attempts that are overdue.
 void close_overdue_attempts(exchange_step& step)
 {
@@ -293,6 +303,7 @@
         const auto ended = remove_attempt(step, id);
         if (auto* leaf = find_leaf(step.pool, ended.leaf)) {
             avoid(*leaf, now + step.pool.settings.failure_penalty);
+            leaf->given_up_at = now;
         }
         step.context.count(metrics::counter::connections_silent);
         step.context.log(make_record(
@@ -407,7 +418,14 @@
 void reduce(exchange_step& step, const leaf_replied& event)
 {
     const auto found = step.pool.connections.find(raw(event.connection));
-    if (found == step.pool.connections.end() || !found->second.attempt) {
+    if (found == step.pool.connections.end()) {
+        return;
+    }
+    if (found->second.health_check) {
+        end_request(step, event);
+        return;
+    }
+    if (!found->second.attempt) {
         return;
     }
     const attempt_id id = *found->second.attempt;
@@ -416,11 +434,7 @@
     apply_answer(step, ended, event.reply);
     apply_leaf_state(step.pool, event.connection, event.reply, ended.sent_at,
                      step.context);
-    if (event.reusable) {
-        release(step.pool, event.connection, event.reply, step.context);
-    } else {
-        remove_connection(step.pool, event.connection, false, step.context);
-    }
+    end_request(step, event);
     if (ended.awaited) {
         handle_reply(step, id, ended, event.reply);
     }
--- a/libraries/gateway/leaf_pool.cpp
+++ b/libraries/gateway/leaf_pool.cpp
@@ -145,12 +145,15 @@
     }
 }
 
-void abort_slow_connects(leaf_pool& pool, context& context)
+// Aborts connects and health checks that time out.
+void abort_overdue(leaf_pool& pool, context& context)
 {
+    const auto& settings = pool.settings;
     std::vector<connection_id> overdue;
     for (const auto& [id, each] : pool.connections) {
-        if (!each.open && !each.attempt &&
-            context.now - each.since > pool.settings.open_timeout) {
+        const auto age = context.now - each.since;
+        if ((!each.open && !each.attempt && age > settings.open_timeout) ||
+            (each.health_check && age > settings.health_check_timeout)) {
             overdue.push_back(connection_id{id});
         }
     }
@@ -273,6 +276,33 @@
     return true;
 }
 
+bool send_health_check(leaf_pool& pool, leaf_state& leaf, context& context)
+{
+    if (!pool.table || leaf.idle.empty() ||
+        !accepts_requests(leaf, context.now) ||
+        !rate_admits(leaf, context.now)) {
+        return false;
+    }
+    const auto service = pool.table->services.find(leaf.published.service);
+    if (service == pool.table->services.end() ||
+        service->second.health_path.empty()) {
+        return false;
+    }
+    const auto id = leaf.idle.back();
+    leaf.idle.pop_back();
+    auto& used = pool.connections.at(raw(id));
+    used.health_check = true;
+    used.since = context.now;
+    count_request(pool, leaf, context.now);
+    auto request = std::make_shared<forward_request>();
+    request->method = "GET";
+    request->host = service->second.name;
+    request->target = service->second.health_path;
+    context.emit(send_to_leaf{id, std::move(request), leaf.published.id,
+                              pool.settings.health_check_timeout});
+    return true;
+}
+
 bool accepts_requests(const leaf_state& leaf, boot_time now)
 {
     return !leaf.leaving && now >= leaf.paused_until;
@@ -338,6 +368,7 @@
 {
     auto& connection = pool.connections.at(raw(id));
     connection.attempt.reset();
+    connection.health_check = false;
     connection.since = context.now;
     connection.answered = true;
     auto& leaf = pool.leafs.at(connection.leaf);
@@ -461,7 +492,7 @@
     if (context.now < pool.maintain_at) {
         return;
     }
-    abort_slow_connects(pool, context);
+    abort_overdue(pool, context);
     for (auto it = pool.leafs.begin(); it != pool.leafs.end();) {
         maintain_leaf(pool, it->second, context);
         if (is_removable(pool, it->second, context.now)) {
--- a/libraries/gateway/leaf_pool.hpp
+++ b/libraries/gateway/leaf_pool.hpp
@@ -45,6 +45,8 @@
     // Limit for establishing a connection; a round trip within a region takes
     // a few milliseconds.
     duration open_timeout = milliseconds{250};
+    // Limit for answering a health check.
+    duration health_check_timeout = milliseconds{500};
     // Connections of one daemon to one leaf, whatever the leaf's limit.
     std::uint32_t max_connections = 4;
     // Where only some daemons are large: the share of a leaf's connections
@@ -90,6 +92,7 @@
     bool open = false;
     bool answered = false;             // at least one answer was received on it
     std::optional<attempt_id> attempt; // that uses it or waits for it
+    bool health_check = false;         // one was sent and is not answered
     boot_time since{};                 // opened, or last used
     duration idle_timeout{0};          // at the leaf; 0: not known
 };
@@ -121,6 +124,7 @@
     std::uint32_t failed_connections = 0;
     std::uint32_t failed_opens = 0;
     boot_time connection_failed_at{}; // the last of those
+    boot_time given_up_at{};          // an attempt, without an answer in time
     boot_time backoff_until{};        // no connection is opened before
 };
 
@@ -199,6 +203,10 @@
 // it may not be opened now.
 bool open_check(leaf_pool&, leaf_state&, context&);
 
+// Sends a health check on an idle connection. Returns false if there is none,
+// or the leaf takes no request now.
+bool send_health_check(leaf_pool&, leaf_state&, context&);
+
 // Whether the leaf may be sent a request now, as far as it has stated.
 bool accepts_requests(const leaf_state&, boot_time now);
 
@@ -252,8 +260,8 @@
                                       const std::string& service);
 
 // Opens the first connections to leafs without any, closes idle connections
-// shortly before the leaf would, aborts connects that time out, and erases
-// unused leafs that are no longer published.
+// shortly before the leaf would, aborts connects and health checks that time
+// out, and erases unused leafs that are no longer published.
 void maintain(leaf_pool&, context&);
 boot_time next_wakeup(const leaf_pool&);
 
--- a/libraries/gateway/reachability.cpp
+++ b/libraries/gateway/reachability.cpp
@@ -11,7 +11,7 @@
 {
 
 // The leafs that this daemon may use, in random order.
-std::vector<leaf_state*> usable_leafs(reachability& reach, leaf_pool& pool,
+std::vector<leaf_state*> usable_leafs(reachability& self, leaf_pool& pool,
                                       boot_time now)
 {
     std::vector<leaf_state*> leafs;
@@ -20,21 +20,24 @@
             leafs.push_back(&leaf);
         }
     }
-    shuffle(std::span(leafs), reach.random);
+    shuffle(std::span(leafs), self.random);
     return leafs;
 }
 
-// Whether a connection that was opened recently, and since the doubt began, is
-// still open.
-bool keeps_new_connection(const reachability& reach, const leaf_pool& pool,
+// Whether a connection that was opened recently, and since the suspicion began,
+// is still open.
+bool keeps_new_connection(const reachability& self, const leaf_pool& pool,
                           boot_time now)
 {
-    const auto& settings = reach.settings;
+    const auto& settings = self.settings;
+    if (self.partitioned && self.connects_succeed) {
+        return false; // they prove nothing
+    }
     auto earliest = now - settings.recent_contact;
-    if (reach.partitioned) {
-        earliest = std::max(earliest, reach.partitioned_at);
-    } else if (reach.suspected_since != boot_time::max()) {
-        earliest = std::max(earliest, reach.suspected_since);
+    if (self.partitioned) {
+        earliest = std::max(earliest, self.partitioned_at);
+    } else if (self.suspected_since != boot_time::max()) {
+        earliest = std::max(earliest, self.suspected_since);
     }
     return std::any_of(pool.connections.begin(), pool.connections.end(),
                        [&](const auto& each) {
@@ -48,8 +51,9 @@
 
 // The leafs at which an attempt sent since the given time is unanswered for
 // this long.
-std::size_t count_silent_leafs(const exchange_step& step,
-                               duration unanswered_for, boot_time since)
+std::set<std::string_view> silent_leafs(const exchange_step& step,
+                                        duration unanswered_for,
+                                        boot_time since)
 {
     const auto now = step.context.now;
     std::set<std::string_view> silent;
@@ -59,7 +63,34 @@
             silent.insert(each.leaf);
         }
     }
-    return silent.size();
+    return silent;
+}
+
+// Notes the first request since the last answer.
+void note_unanswered(reachability& self, const exchange_step& step)
+{
+    for (const auto& [id, each] : step.state.attempts) {
+        if (each.sent && each.sent_at > self.answered_at) {
+            self.unanswered_since =
+                std::min(self.unanswered_since, each.sent_at);
+        }
+    }
+}
+
+// The leafs that have left requests since the last answer unanswered for long,
+// or ended connections instead.
+std::size_t count_unanswering_leafs(const reachability& self,
+                                    const exchange_step& step,
+                                    std::span<leaf_state* const> leafs)
+{
+    const auto since = self.unanswered_since;
+    auto unanswering = silent_leafs(step, self.settings.min_silent_lead, since);
+    for (const auto* each : leafs) {
+        if (each->connection_failed_at > since || each->given_up_at > since) {
+            unanswering.insert(each->published.id);
+        }
+    }
+    return unanswering.size();
 }
 
 bool any_connection_failed(const leaf_pool& pool, boot_time since)
@@ -95,19 +126,19 @@
     return open_check(step.pool, leaf, step.context);
 }
 
-void check_leafs(reachability& reach, exchange_step& step,
+void check_leafs(reachability& self, exchange_step& step,
                  std::span<leaf_state* const> leafs, std::size_t count)
 {
-    if (step.context.now < reach.check_at) {
+    if (step.context.now < self.check_at) {
         return;
     }
-    reach.check_at = step.context.now + reach.settings.check_interval;
+    self.check_at = step.context.now + self.settings.check_interval;
     for (auto* leaf : leafs) {
         count -= count > 0 && check_leaf(step, *leaf) ? 1 : 0;
     }
 }
 
-void ask_peers(reachability& reach, exchange_step& step,
+void ask_peers(reachability& self, exchange_step& step,
                std::span<const wire::member_record> live)
 {
     std::vector<const wire::member_record*> peers;
@@ -117,14 +148,14 @@
             peers.push_back(&live[i]);
         }
     }
-    shuffle(std::span(peers), reach.random);
-    peers.resize(std::min(peers.size(), reach.settings.asked_peers));
+    shuffle(std::span(peers), self.random);
+    peers.resize(std::min(peers.size(), self.settings.asked_peers));
     for (const auto* each : peers) {
         const auto question = step.context.shared.new_identifier<exchange_id>();
-        reach.questions.insert(question);
+        self.questions.insert(question);
         step.context.shared.emit(send_peer_request{
             question, each->peer, wire::leaf_contact_request{},
-            reach.settings.question_timeout});
+            self.settings.question_timeout});
     }
 }
 
@@ -133,111 +164,129 @@
     bool silent = false; // although connects may succeed
 };
 
-evidence collect_evidence(const reachability& reach, const exchange_step& step,
+evidence collect_evidence(const reachability& self, const exchange_step& step,
                           std::span<leaf_state* const> leafs)
 {
-    const auto& settings = reach.settings;
+    const auto& settings = self.settings;
     const auto expected = [&](std::size_t count) {
         return std::min(count, leafs.size());
     };
     evidence found;
     found.connects_fail =
-        reach.contact_at < reach.suspected_since &&
-        reach.suspected_since != boot_time::max() &&
-        step.context.now - reach.suspected_since >= settings.check_time &&
-        count_failed_connects(leafs, reach.contact_at) >=
+        self.contact_at < self.suspected_since &&
+        self.suspected_since != boot_time::max() &&
+        step.context.now - self.suspected_since >= settings.check_time &&
+        count_failed_connects(leafs, self.contact_at) >=
             expected(settings.checked_leafs);
-    const auto now = step.context.now;
-    const auto recently =
-        std::max(reach.answered_at, now - settings.silent_after);
     found.silent =
-        now - reach.answered_at >= settings.silent_after &&
-        count_silent_leafs(step, settings.unanswered_after, reach.answered_at) +
-                count_failed_connects(leafs, recently) >=
+        self.unanswered_since != boot_time::max() &&
+        step.context.now - self.unanswered_since >= settings.silent_after &&
+        count_unanswering_leafs(self, step, leafs) >=
             expected(settings.silent_leafs);
     return found;
 }
 
 // Whether contact was due and there was none.
-bool is_suspicious(const reachability& reach, const exchange_step& step)
+bool is_suspicious(const reachability& self, const exchange_step& step)
 {
-    const auto& settings = reach.settings;
+    const auto& settings = self.settings;
     // After a check has succeeded, the next one may wait.
-    const bool checked = reach.contact_at > reach.answered_at;
+    const bool checked = self.contact_at > self.answered_at;
     const auto limit =
         checked ? settings.next_suspect_after : settings.suspect_after;
-    return step.context.now - reach.contact_at >= limit &&
-           (any_connection_failed(step.pool, reach.contact_at) ||
-            count_silent_leafs(step, settings.suspect_after, reach.contact_at) >
-                0);
+    return step.context.now - self.contact_at >= limit &&
+           (any_connection_failed(step.pool, self.contact_at) ||
+            !silent_leafs(step, settings.suspect_after, self.contact_at)
+                 .empty());
 }
 
-void review_suspicion(reachability& reach, exchange_step& step,
+void review_suspicion(reachability& self, exchange_step& step,
                       std::span<const wire::member_record> live)
 {
     const auto now = step.context.now;
-    if (now - reach.answered_at < reach.settings.suspect_after) {
-        reach.suspected_since = boot_time::max();
-        reach.questions.clear();
+    if (now - self.answered_at < self.settings.suspect_after) {
+        self.suspected_since = boot_time::max();
+        self.questions.clear();
         return;
     }
-    const bool doubt = is_suspicious(reach, step);
-    reach.suspected_since =
-        doubt ? std::min(reach.suspected_since, now) : boot_time::max();
-    const auto leafs = usable_leafs(reach, step.pool, now);
-    const auto found = collect_evidence(reach, step, leafs);
-    if (leafs.empty() || now < reach.check_at) {
+    const bool suspicious = is_suspicious(self, step);
+    self.suspected_since =
+        suspicious ? std::min(self.suspected_since, now) : boot_time::max();
+    const auto leafs = usable_leafs(self, step.pool, now);
+    const auto found = collect_evidence(self, step, leafs);
+    if (leafs.empty() || now < self.check_at) {
         return;
     }
     if (found.connects_fail || found.silent) {
         step.context.log(make_record(
             path_suspected,
-            field("silent_ms", to_milliseconds(now - reach.answered_at)),
+            field("silent_ms", to_milliseconds(now - self.answered_at)),
             field("connects_fail", found.connects_fail ? 1 : 0),
             field("failed_connects",
-                  count_failed_connects(leafs, reach.contact_at)),
+                  count_failed_connects(leafs, self.contact_at)),
             field("leafs", leafs.size())));
-        ask_peers(reach, step, live);
+        ask_peers(self, step, live);
     }
-    if (doubt || found.silent) {
-        check_leafs(reach, step, leafs, reach.settings.checked_leafs);
+    if (suspicious || found.silent) {
+        check_leafs(self, step, leafs, self.settings.checked_leafs);
     }
 }
 
-void log_change(const reachability& reach, exchange_step& step,
+void log_change(const reachability& self, exchange_step& step,
                 std::int64_t peer_contact_ms)
 {
     const auto now = step.context.now;
     step.context.log(make_record(
-        path_changed, field("partitioned", reach.partitioned ? 1 : 0),
-        field("silent_ms", to_milliseconds(now - reach.answered_at)),
+        path_changed, field("partitioned", self.partitioned ? 1 : 0),
+        field("silent_ms", to_milliseconds(now - self.answered_at)),
         field("peer_contact_ms", peer_contact_ms),
-        field("hold_down_ms", to_milliseconds(reach.hold_down))));
+        field("hold_down_ms", to_milliseconds(self.hold_down))));
+}
+
+// Sends health checks to leafs, over a new connection where none is idle.
+void check_health(reachability& self, exchange_step& step,
+                  std::span<leaf_state* const> leafs)
+{
+    if (step.context.now < self.check_at) {
+        return;
+    }
+    self.check_at = step.context.now + self.settings.check_interval;
+    std::size_t left = self.settings.checked_leafs;
+    for (auto* leaf : leafs) {
+        const bool checked =
+            left > 0 && (send_health_check(step.pool, *leaf, step.context) ||
+                         check_leaf(step, *leaf));
+        left -= checked ? 1 : 0;
+    }
 }
 
-// Whether this daemon has returned, after contact for long enough.
-bool review_recovery(reachability& reach, exchange_step& step)
+// Whether this daemon has recovered: it has had contact for long enough.
+bool review_recovery(reachability& self, exchange_step& step)
 {
     const auto now = step.context.now;
-    const auto& settings = reach.settings;
-    check_leafs(reach, step, usable_leafs(reach, step.pool, now),
-                settings.checked_leafs);
-    if (now - reach.contact_at > 2 * settings.recent_contact) {
-        reach.contact_since = boot_time::max();
-    } else if (reach.contact_since == boot_time::max() &&
-               reach.contact_at > reach.partitioned_at) {
-        reach.contact_since = now;
+    const auto& settings = self.settings;
+    const auto leafs = usable_leafs(self, step.pool, now);
+    if (self.connects_succeed) {
+        check_health(self, step, leafs);
+    } else {
+        check_leafs(self, step, leafs, settings.checked_leafs);
+    }
+    if (now - self.contact_at > 2 * settings.recent_contact) {
+        self.contact_since = boot_time::max();
+    } else if (self.contact_since == boot_time::max() &&
+               self.contact_at > self.partitioned_at) {
+        self.contact_since = now;
         forget_failures(step.pool, now);
     }
-    if (reach.contact_since == boot_time::max() ||
-        now - reach.contact_since < reach.hold_down) {
+    if (self.contact_since == boot_time::max() ||
+        now - self.contact_since < self.hold_down) {
         return false;
     }
-    reach.partitioned = false;
-    reach.suspected_since = boot_time::max();
-    reach.recovered_at = now;
-    log_change(reach, step, -1);
-    reach.answered_at = now; // from which silence counts again
+    self.partitioned = false;
+    self.suspected_since = boot_time::max();
+    self.recovered_at = now;
+    log_change(self, step, -1);
+    note_answer(self, now); // silence counts from here again
     return true;
 }
 
@@ -256,50 +305,52 @@
     return made;
 }
 
-void note_answer(reachability& reach, boot_time now)
+void note_answer(reachability& self, boot_time now)
 {
-    reach.answered_at = now;
-    reach.contact_at = now;
+    self.answered_at = now;
+    self.contact_at = now;
+    self.unanswered_since = boot_time::max();
 }
 
-bool review_reachability(reachability& reach, exchange_step& step,
+bool review_reachability(reachability& self, exchange_step& step,
                          std::span<const wire::member_record> live)
 {
     const auto now = step.context.now;
-    if (now < reach.review_at) {
+    if (now < self.review_at) {
         return false;
     }
-    const bool busy = reach.partitioned || step.pool.opening > 0 ||
+    const bool busy = self.partitioned || step.pool.opening > 0 ||
                       !step.state.attempts.empty();
-    reach.review_at = now + (busy ? reach.settings.review_interval
-                                  : reach.settings.idle_review_interval);
-    if (keeps_new_connection(reach, step.pool, now)) {
-        reach.contact_at = now;
+    self.review_at = now + (busy ? self.settings.review_interval
+                                 : self.settings.idle_review_interval);
+    if (keeps_new_connection(self, step.pool, now)) {
+        self.contact_at = now;
     }
-    if (reach.partitioned) {
-        return review_recovery(reach, step);
+    if (self.partitioned) {
+        return review_recovery(self, step);
     }
-    review_suspicion(reach, step, live);
+    note_unanswered(self, step);
+    review_suspicion(self, step, live);
     return false;
 }
 
-void reply_to_contact_request(reachability& reach, exchange_step& step,
+void reply_to_contact_request(reachability& self, exchange_step& step,
                               peer_token token)
 {
     const auto now = step.context.now;
     step.context.shared.emit(reply_to_peer{
-        token, wire::leaf_contact_reply{wire::age_of(reach.answered_at, now),
-                                        wire::age_of(reach.contact_at, now)}});
-    if (now - reach.contact_at > reach.settings.recent_contact) {
-        check_leafs(reach, step, usable_leafs(reach, step.pool, now), 1);
+        token, wire::leaf_contact_reply{wire::age_of(self.answered_at, now),
+                                        wire::age_of(self.contact_at, now)}});
+    if (now - self.contact_at > self.settings.recent_contact) {
+        check_leafs(self, step, usable_leafs(self, step.pool, now), 1);
     }
 }
 
-bool handle_contact_reply(reachability& reach, exchange_step& step,
+bool handle_contact_reply(reachability& self, exchange_step& step,
                           const peer_reply_received& event)
 {
-    if (reach.questions.erase(event.exchange) == 0 || !event.reply ||
-        reach.partitioned) {
+    if (self.questions.erase(event.exchange) == 0 || !event.reply ||
+        self.partitioned) {
         return false;
     }
     const auto* reply =
@@ -308,41 +359,43 @@
         return false;
     }
     const auto now = step.context.now;
-    const auto& settings = reach.settings;
+    const auto& settings = self.settings;
     const auto leads = [&](std::uint32_t age, boot_time own, duration lead) {
         return wire::time_of(age, now) >= own + lead;
     };
     const auto found =
-        collect_evidence(reach, step, usable_leafs(reach, step.pool, now));
-    const bool partitioned =
-        (found.connects_fail &&
-         leads(reply->contact_ms_ago, reach.contact_at, settings.min_lead)) ||
-        (found.silent && leads(reply->answered_ms_ago, reach.answered_at,
-                               settings.min_silent_lead));
-    if (!partitioned) {
+        collect_evidence(self, step, usable_leafs(self, step.pool, now));
+    const bool connects_fail =
+        found.connects_fail &&
+        leads(reply->contact_ms_ago, self.contact_at, settings.min_lead);
+    const bool silent =
+        found.silent && leads(reply->answered_ms_ago, self.unanswered_since,
+                              settings.min_silent_lead);
+    if (!connects_fail && !silent) {
         return false;
     }
-    const bool flapping = reach.recovered_at != boot_time::min() &&
-                          now - reach.recovered_at < settings.flap_window;
-    reach.hold_down =
-        flapping ? std::min(2 * reach.hold_down, settings.max_hold_down)
-                 : settings.hold_down;
-    reach.partitioned = true;
-    reach.partitioned_at = now;
-    reach.contact_since = boot_time::max();
-    reach.questions.clear();
-    log_change(reach, step, reply->contact_ms_ago);
+    const bool flapping = self.recovered_at != boot_time::min() &&
+                          now - self.recovered_at < settings.flap_window;
+    self.hold_down = flapping
+                         ? std::min(2 * self.hold_down, settings.max_hold_down)
+                         : settings.hold_down;
+    self.partitioned = true;
+    self.partitioned_at = now;
+    self.connects_succeed = !connects_fail;
+    self.contact_since = boot_time::max();
+    self.questions.clear();
+    log_change(self, step, reply->contact_ms_ago);
     return true;
 }
 
-bool reaches_no_leaf(const reachability& reach)
+bool reaches_no_leaf(const reachability& self)
 {
-    return reach.partitioned && reach.contact_since == boot_time::max();
+    return self.partitioned && self.contact_since == boot_time::max();
 }
 
-boot_time next_wakeup(const reachability& reach)
+boot_time next_wakeup(const reachability& self)
 {
-    return reach.review_at;
+    return self.review_at;
 }
 
 } // namespace bulrushspring::gateway
--- a/tests/gateway/reachability_test.cpp
+++ b/tests/gateway/reachability_test.cpp
@@ -7,8 +7,8 @@
 namespace
 {
 
-struct reach_fixture : gateway_fixture {
-    reach_fixture()
+struct reachability_fixture : gateway_fixture {
+    reachability_fixture()
     {
         make_query_route(4);
         shared.clear();
@@ -73,7 +73,8 @@
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(
-    a_daemon_leaves_if_a_peer_reaches_leafs_that_it_does_not, reach_fixture)
+    a_daemon_leaves_if_a_peer_reaches_leafs_that_it_does_not,
+    reachability_fixture)
 {
     lose_leafs(milliseconds{900}, milliseconds{10});
     BOOST_TEST(partitioned());
@@ -87,14 +88,14 @@
 
 // The leafs are down for all: somebody has to stay.
 BOOST_FIXTURE_TEST_CASE(a_daemon_stays_if_its_peer_reaches_no_leaf_either,
-                        reach_fixture)
+                        reachability_fixture)
 {
     lose_leafs(seconds{3}, seconds{60});
     BOOST_TEST(!partitioned());
     BOOST_TEST(accepts_callers(state));
 }
 
-BOOST_FIXTURE_TEST_CASE(a_daemon_stays_if_no_peer_answers, reach_fixture)
+BOOST_FIXTURE_TEST_CASE(a_daemon_stays_if_no_peer_answers, reachability_fixture)
 {
     lose_leafs(seconds{3}, std::nullopt);
     BOOST_TEST(!partitioned());
@@ -102,7 +103,7 @@
 
 // Slow leafs are no lost path: connects to them succeed.
 BOOST_FIXTURE_TEST_CASE(a_daemon_stays_while_leafs_only_answer_late,
-                        reach_fixture)
+                        reachability_fixture)
 {
     std::vector<send_to_leaf> unanswered;
     for (int i = 0; i < 60; ++i) {
@@ -125,7 +126,7 @@
 // Found on the bench: leafs of a few services had crashed, and the others'
 // answers took longer than the silence that raises doubt.
 BOOST_FIXTURE_TEST_CASE(a_daemon_stays_if_some_leafs_crash_and_others_are_slow,
-                        reach_fixture)
+                        reachability_fixture)
 {
     const auto crashed = [&](connection_id id) {
         const auto& leaf = state.pool.connections.at(raw(id)).leaf;
@@ -155,7 +156,7 @@
 
 // A connection that is accepted and reset at once is no contact.
 BOOST_FIXTURE_TEST_CASE(a_daemon_leaves_if_its_connections_are_reset_at_once,
-                        reach_fixture)
+                        reachability_fixture)
 {
     for (int i = 0; i < 30; ++i) {
         send_request("/q/x");
@@ -169,7 +170,49 @@
     BOOST_TEST(partitioned());
 }
 
-BOOST_FIXTURE_TEST_CASE(callers_return_once_the_path_has_held, reach_fixture)
+// Behind a proxy that accepts them, connections prove nothing.
+BOOST_FIXTURE_TEST_CASE(accepted_connections_alone_do_not_bring_callers_back,
+                        reachability_fixture)
+{
+    const auto pass = [&](duration span, bool path_holds) {
+        for (duration left = span; left > duration{0};
+             left -= milliseconds{50}) {
+            send_request("/q/x");
+            advance(milliseconds{50});
+            connect_requested();
+            for (const auto& each : take<send_to_leaf>()) {
+                if (path_holds) {
+                    reply(each, "0123456789abcdef");
+                }
+            }
+            answer_questions(milliseconds{10});
+        }
+    };
+    pass(milliseconds{2500}, false);
+    BOOST_REQUIRE(partitioned());
+    pass(seconds{5}, false);
+    BOOST_TEST(partitioned());
+    pass(seconds{3}, true);
+    BOOST_TEST(!partitioned());
+    BOOST_TEST(accepts_callers(state));
+}
+
+// Silence counts from the first unanswered request, not from each of them.
+BOOST_FIXTURE_TEST_CASE(
+    a_daemon_leaves_although_silent_connections_are_replaced,
+    reachability_fixture)
+{
+    for (int i = 0; i < 50; ++i) {
+        send_request("/q/x", milliseconds{400});
+        advance(milliseconds{50});
+        connect_requested();
+        answer_questions(milliseconds{10});
+    }
+    BOOST_TEST(partitioned());
+}
+
+BOOST_FIXTURE_TEST_CASE(callers_return_once_the_path_has_held,
+                        reachability_fixture)
 {
     lose_leafs(milliseconds{900}, milliseconds{10});
     BOOST_REQUIRE(partitioned());
@@ -191,7 +234,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(a_flapping_path_keeps_callers_away_for_longer,
-                        reach_fixture)
+                        reachability_fixture)
 {
     lose_leafs(milliseconds{900}, milliseconds{10});
     return_path(milliseconds{1800});
--- a/tests/platform/messages_test.cpp
+++ b/tests/platform/messages_test.cpp
@@ -44,6 +44,19 @@
                "leaf-1");
 }
 
+// It is no attempt of a caller: a leaf would count it as one that ran.
+BOOST_AUTO_TEST_CASE(a_health_check_has_no_request_id)
+{
+    auto check = std::make_shared<gateway::forward_request>();
+    check->method = "GET";
+    check->host = "one";
+    check->target = "/health";
+    const auto written = protocol.write_leaf_request(
+        {connection_id{1}, check, "leaf-1", milliseconds{500}});
+    BOOST_TEST(written.target == "/health");
+    BOOST_TEST(http::header_count(written.headers, "attempt-id") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(requests_with_a_bad_id_or_deadline_are_malformed)
 {
     auto missing_id = sample_request();
