soak: Start daemons with planned signals blocked; say how a daemon ended

A signal before main takes its default action, whatever the daemon does, so this case is allowed. A supervisor can avoid it: it starts the process with the signals blocked, and they stay pending until the daemon has set its handlers. The stand-in does so now.

The check itself stays, and names daemon, signal or exit status, and age of the process, which it did not.

--- a/fakes/site/site.cpp
+++ b/fakes/site/site.cpp
@@ -239,6 +239,14 @@
 {
     const auto settings = "--settings=" + settings_path(node);
     const auto log = options_.folder + "/" + node.name + ".log";
+    // No program can handle a signal before its main begins: the daemon starts
+    // with these blocked, so that they stay pending.
+    sigset_t planned;
+    sigemptyset(&planned);
+    sigaddset(&planned, SIGTERM);
+    sigaddset(&planned, SIGHUP);
+    sigset_t earlier;
+    sigprocmask(SIG_BLOCK, &planned, &earlier);
     node.process = fork();
     if (node.process == 0) {
         const int to = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -248,6 +256,8 @@
               settings.c_str(), nullptr);
         _exit(127);
     }
+    sigprocmask(SIG_SETMASK, &earlier, nullptr);
+    node.started_at = system_boot_clock{}.now();
     node.stopping = false;
     node.overdue = false;
     node.paused = false;
@@ -261,9 +271,9 @@
     }
 }
 
-bool installation::reap()
+std::vector<std::string> installation::reap()
 {
-    bool expected = true;
+    std::vector<std::string> unexpected;
     for (auto& each : daemons) {
         int status = 0;
         if (each.process > 0 &&
@@ -272,11 +282,21 @@
                 WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
             const bool ended =
                 WIFEXITED(status) && WEXITSTATUS(status) == 0 && each.stopping;
-            expected = expected && (killed || ended);
+            if (!killed && !ended) {
+                unexpected.push_back(
+                    each.name + " ended unexpectedly, by " +
+                    (WIFSIGNALED(status)
+                         ? "signal " + std::to_string(WTERMSIG(status))
+                         : "exit " + std::to_string(WEXITSTATUS(status))) +
+                    ", " +
+                    std::to_string(to_milliseconds(system_boot_clock{}.now() -
+                                                   each.started_at)) +
+                    " ms after its start");
+            }
             each.process = -1;
         }
     }
-    return expected;
+    return unexpected;
 }
 
 endpoint installation::callers_address(const daemon& node) const
--- a/fakes/site/site.hpp
+++ b/fakes/site/site.hpp
@@ -26,6 +26,7 @@
     std::string data_centre;
     std::uint32_t address = 0;
     pid_t process = -1;
+    boot_time started_at{};
     std::unique_ptr<proxy> store_link;
     bool stopping = false;  // SIGTERM has been sent
     boot_time stopped_at{}; // the time of the first SIGTERM
@@ -67,11 +68,12 @@
     void publish_table();
     void start(daemon& node);
     void signal(const daemon& node, int number) const;
-    // Reaps daemon processes that have exited. Returns false if one of them was
-    // neither killed by SIGKILL nor exited with status 0 after SIGTERM.
-    bool reap();
-    // Cuts the daemon off from all leafs, or heals the cut that holds. One is
-    // cut off at a time.
+    // Reaps daemon processes that have exited. Returns a description of each
+    // that was neither killed by SIGKILL nor exited with status 0 after
+    // SIGTERM.
+    std::vector<std::string> reap();
+    // Partitions the daemon from all leafs, or heals the partition that holds.
+    // There is one at a time.
     void partition_from_leafs(daemon& node, bool reset);
     void heal_partition();
     // Replaces all shards by the same number of new ones and publishes that.
--- a/fakes/site/soak.cpp
+++ b/fakes/site/soak.cpp
@@ -12,8 +12,8 @@
 constexpr seconds recovery_limit{12}; // required by the users
 // How long after an injected fault a daemon may still cause failures.
 constexpr milliseconds settling_time{4000};
-// After this time, callers have to be directed away from a daemon that is cut
-// off from all leafs; directories are asked again within a second.
+// After this time, callers have to be directed away from a daemon that is
+// partitioned from all leafs; directories are asked again within a second.
 constexpr milliseconds partition_grace{5000};
 // bounds.graceS, as site.cpp writes it into the daemons' settings.
 constexpr seconds stop_grace{6};
@@ -94,8 +94,8 @@
 
     void check_invariants()
     {
-        if (!site.reap()) {
-            report.violations.emplace_back("daemon exited unexpectedly");
+        for (auto& each : site.reap()) {
+            report.violations.push_back(std::move(each));
         }
         for (auto& each : site.daemons) {
             if (each.process > 0 && each.stopping && !each.overdue &&
@@ -123,8 +123,8 @@
         }
     }
 
-    // A daemon that has been cut off from the leafs for the users' grace time
-    // must not be named to callers while another one is undisturbed.
+    // A daemon that has been partitioned from the leafs for the users' grace
+    // time must not be named to callers while another one is undisturbed.
     void check_partition()
     {
         const auto now = clock.now();
@@ -144,7 +144,7 @@
                     "named to callers " +
                     std::to_string(
                         to_milliseconds(now - each.partitioned_since)) +
-                    " ms after it was cut off: " + each.name);
+                    " ms after it was partitioned: " + each.name);
             }
         }
     }
@@ -272,7 +272,7 @@
                  });
     }
 
-    // Cuts a daemon off from all leafs, while callers, store and peers reach
+    // Partitions a daemon from all leafs, while callers, store and peers reach
     // it.
     void inject_partition()
     {
@@ -285,8 +285,8 @@
             return;
         }
         const bool reset = random_index(2) == 0;
-        log_fault(node.name + (reset ? " cut off from the leafs, reset"
-                                     : " cut off from the leafs, silent"));
+        log_fault(node.name + (reset ? " partitioned from the leafs, reset"
+                                     : " partitioned from the leafs, silent"));
         site.partition_from_leafs(node, reset);
         schedule(random_duration(milliseconds{1000}, milliseconds{9000}),
                  [this] { site.heal_partition(); });
