fakes: Check stated rates in one place

The stand-in site and the model each had the users' rule on a stated rate, with its four constants. Both now use fakes/limits/rate_check.

--- a/fakes/experiment/fleet.hpp
+++ b/fakes/experiment/fleet.hpp
@@ -25,12 +25,12 @@
     std::uint64_t covered_parts = 0;  // of those
     std::uint64_t leaf_requests = 0;  // that reached a leaf
     // First tries from the users' grace time after a partition has begun until
-    // it ends, at the daemons that are partition off and at the others.
+    // it ends, at the partitioned daemons and at the others.
     std::uint64_t asked_in_partition = 0;
     std::uint64_t served_in_partition = 0;
     std::uint64_t asked_at_others = 0;
     std::uint64_t served_at_others = 0;
-    // The most requests that a leaf got beyond what it may, see limit_window.
+    // The most requests that a leaf got beyond the rate that it states.
     std::size_t over_limit = 0;
     std::vector<duration> latencies; // of the answers, ascending
 };
--- a/fakes/experiment/leafs.cpp
+++ b/fakes/experiment/leafs.cpp
@@ -54,23 +54,12 @@
 void check_limit(simulation& self, leaf& each)
 {
     const auto* limit = find_limit(self, each);
-    if (limit == nullptr || self.now - self.start < limit->from + limit_grace) {
-        each.limited_arrivals.clear();
+    if (limit == nullptr) {
+        forget_arrivals(each.rate);
         return;
     }
-    auto& arrivals = each.limited_arrivals;
-    arrivals.push_back(self.now);
-    while (self.now - arrivals.front() > limit_window) {
-        arrivals.pop_front();
-    }
-    const auto allowed = static_cast<std::size_t>(
-        max_limit_factor * limit->factor *
-            std::chrono::duration<double>(limit_window).count() +
-        max_extra_arrivals);
-    if (arrivals.size() > allowed) {
-        self.result.over_limit =
-            std::max(self.result.over_limit, arrivals.size() - allowed);
-    }
+    count_arrival(each.rate, limit->factor, self.start + limit->from, self.now);
+    self.result.over_limit = std::max(self.result.over_limit, each.rate.excess);
 }
 
 // Whether packets between the daemon and the leafs are lost.
--- a/fakes/experiment/simulation.hpp
+++ b/fakes/experiment/simulation.hpp
@@ -2,6 +2,7 @@
 #define BULRUSHSPRING_FAKES_EXPERIMENT_SIMULATION_HPP
 
 #include "fakes/experiment/fleet.hpp"
+#include "fakes/limits/rate_check.hpp"
 
 #include "base/random.hpp"
 #include "libraries/gateway/gateway.hpp"
@@ -21,13 +22,7 @@
 // Time in which the daemons learn their fleet and connect.
 inline constexpr seconds preparation{8};
 
-// The users' rule on the limit that a leaf states: after the grace time, it may
-// get this much more in each window.
-inline constexpr seconds limit_grace{4};
-inline constexpr seconds limit_window{4};
-inline constexpr double max_limit_factor = 1.5;
-inline constexpr double max_extra_arrivals = 5;
-// After this time, callers of a daemon that is partition off have to be served.
+// After this time, callers of a partitioned daemon have to be served.
 inline constexpr seconds partition_grace{4};
 
 // A daemon's connection to a leaf.
@@ -58,16 +53,14 @@
     std::size_t running = 0;
     std::deque<job> queue;
     std::uint32_t starts = 0; // of its process
-    // Those within the last `limit_window`, while it states a limit for longer
-    // than `limit_grace`.
-    std::deque<boot_time> limited_arrivals;
+    rate_check rate;
 };
 
 struct query {
     boot_time sent_at{};
     bool counted = false; // in the result
     // Sent while a partition has lasted for the users' grace time, to a daemon
-    // that is partition off or to another.
+    // that is partitioned or to another.
     bool during_partition = false;
     bool in_partition = false;
 };
--- a/fakes/site/leaf.cpp
+++ b/fakes/site/leaf.cpp
@@ -14,11 +14,6 @@
 namespace names = platform::names;
 
 constexpr std::size_t records_per_shard = 6;
-// The users' rule on a stated limit.
-constexpr seconds limit_grace{4};
-constexpr seconds limit_window{4};
-constexpr double max_limit_factor = 1.5;
-constexpr double max_extra_arrivals = 5;
 
 } // namespace
 
@@ -115,21 +110,11 @@
     if (faults.rate_limit != limit_checked_) {
         limit_checked_ = faults.rate_limit;
         limited_since_ = now;
-        limited_arrivals_.clear();
     }
-    if (faults.rate_limit <= 0 || now - limited_since_ < limit_grace) {
-        return;
-    }
-    limited_arrivals_.push_back(now);
-    while (now - limited_arrivals_.front() > limit_window) {
-        limited_arrivals_.pop_front();
-    }
-    const auto allowed = static_cast<std::size_t>(
-        max_limit_factor * faults.rate_limit *
-            std::chrono::duration<double>(limit_window).count() +
-        max_extra_arrivals);
-    if (limited_arrivals_.size() > allowed) {
-        over_limit_ = std::max(over_limit_, limited_arrivals_.size() - allowed);
+    if (faults.rate_limit <= 0) {
+        forget_arrivals(rate_);
+    } else {
+        count_arrival(rate_, faults.rate_limit, limited_since_, now);
     }
 }
 
--- a/fakes/site/leaf.hpp
+++ b/fakes/site/leaf.hpp
@@ -2,6 +2,7 @@
 #define BULRUSHSPRING_FAKES_SITE_LEAF_HPP
 
 #include "base/random.hpp"
+#include "fakes/limits/rate_check.hpp"
 #include "libraries/http/server.hpp"
 
 #include <deque>
@@ -55,7 +56,7 @@
     // The most requests beyond the stated limit that have arrived within the
     // users' window, from their grace time after it was first stated. Up to
     // half of the limit more and some requests are allowed.
-    std::size_t arrivals_over_limit() const { return over_limit_; }
+    std::size_t arrivals_over_limit() const { return rate_.excess; }
     std::size_t connections() const
     {
         return server_ ? server_->connections() : 0;
@@ -102,8 +103,7 @@
     boot_time last_arrival_{};
     boot_time limited_since_{};
     double limit_checked_ = 0; // the limit that limited_since_ belongs to
-    std::deque<boot_time> limited_arrivals_;
-    std::size_t over_limit_ = 0;
+    rate_check rate_;
 };
 
 // The signature and bodies of correct answers. Leafs send them and callers
--- a/fakes/site/proxy.hpp
+++ b/fakes/site/proxy.hpp
@@ -20,7 +20,7 @@
 // Reading the ports of all connections takes milliseconds.
 inline constexpr milliseconds port_cache_time{100};
 
-// The connections of some clients that a proxy cuts off, while the others pass.
+// The clients that are partitioned from a proxy's server, while others pass.
 struct client_partition {
     // The ports of the clients, as they were at most port_cache_time ago.
     std::function<std::set<std::uint16_t>()> ports;
@@ -35,7 +35,7 @@
 
     void set_condition(link_condition condition,
                        duration delay = milliseconds{50});
-    // Cuts off these clients until the cut without ports.
+    // Partitions these clients, until it is called without ports.
     void partition_clients(const client_partition& partition);
     // Resets all open connections. New connections are accepted.
     void reset_connections();
@@ -72,7 +72,7 @@
     shell::listener_handle listener_;
     std::list<connection_pair> pairs_;
     shell::event_handle cleanup_timer_;
-    shell::event_handle classify_timer_; // while there is a cut
+    shell::event_handle classify_timer_; // while there is a partition
     link_condition condition_ = link_condition::normal;
     duration delay_{0};
     client_partition partition_;
