--- a/tests/experiment/experiment_test.cpp
+++ b/tests/experiment/experiment_test.cpp
@@ -102,7 +102,7 @@
             BOOST_TEST(failed <= 10U + asked / 50,
                        name << ", seed " << seed << ": " << failed << " of "
                             << sum.asked_in_partition
-                            << " failed at daemons partition off, " << asked
+                            << " failed at partitioned daemons, " << asked
                             << " in all");
             BOOST_TEST(static_cast<double>(sum.served_at_others) >=
                        0.9 * static_cast<double>(sum.asked_at_others));
@@ -111,7 +111,7 @@
 }
 
 // If the leafs are down for all, no daemon may be left with all callers.
-BOOST_AUTO_TEST_CASE(no_daemon_leaves_if_all_are_cut_off)
+BOOST_AUTO_TEST_CASE(no_daemon_leaves_if_all_are_partitioned)
 {
     auto plan = example("partitioned-daemons-silent");
     plan.partitions.front().daemons = plan.daemons;
--- a/tests/soak/limit_test.cpp
+++ b/tests/soak/limit_test.cpp
@@ -1,8 +1,7 @@
 #include "fakes/site/callers.hpp"
+#include "tests/soak/site_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <csignal>
-#include <filesystem>
 
 using namespace bulrushspring;
 
@@ -16,7 +15,6 @@
     shell::base_handle base = client::make_event_base();
     site::installation site;
     site::callers load;
-    system_boot_clock clock;
 
     explicit limited_site(const site::site_options& options)
         : site(base.get(), options), load(base.get(), site, 16, 5)
@@ -29,11 +27,7 @@
 
     void run_for(duration span)
     {
-        for (const auto end = clock.now() + span; clock.now() < end;) {
-            const auto turn = shell::to_timeval(milliseconds{10});
-            event_base_loopexit(base.get(), &turn);
-            event_base_dispatch(base.get());
-        }
+        test::run_loop(base.get(), span, [] {});
     }
 
     // Limits `count` leafs of the service.
@@ -64,15 +58,7 @@
 
 site::site_options make_options()
 {
-    std::signal(SIGPIPE, SIG_IGN);
-    const auto directory =
-        std::filesystem::temp_directory_path() /
-        ("bulrushspring-test-limit-" + std::to_string(getpid()));
-    std::filesystem::create_directories(directory);
-    site::site_options options;
-    options.program =
-        std::string(BULRUSHSPRING_BINARY_FOLDER) + "/bulrushspring-platformd";
-    options.folder = directory.string();
+    auto options = test::make_site_options("limit");
     options.daemons = daemon_count;
     return options;
 }
--- a/tests/soak/poison_test.cpp
+++ b/tests/soak/poison_test.cpp
@@ -1,11 +1,9 @@
-#include "fakes/site/site.hpp"
 #include "libraries/http/client.hpp"
 #include "platform/names.hpp"
+#include "tests/soak/site_fixture.hpp"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <csignal>
-#include <filesystem>
 
 using namespace bulrushspring;
 
@@ -75,12 +73,7 @@
 
     void run_for(duration span)
     {
-        for (const auto end = clock.now() + span; clock.now() < end;) {
-            const auto turn = shell::to_timeval(milliseconds{5});
-            event_base_loopexit(base.get(), &turn);
-            event_base_dispatch(base.get());
-            watch_leafs();
-        }
+        test::run_loop(base.get(), span, [this] { watch_leafs(); });
     }
 
     void ask(std::size_t daemon, std::string_view target)
@@ -104,15 +97,7 @@
                   std::size_t innocents_per_round, std::size_t daemons,
                   std::size_t shards)
 {
-    std::signal(SIGPIPE, SIG_IGN);
-    const auto directory =
-        std::filesystem::temp_directory_path() /
-        ("bulrushspring-test-poison-" + std::to_string(getpid()));
-    std::filesystem::create_directories(directory);
-    site::site_options options;
-    options.program =
-        std::string(BULRUSHSPRING_BINARY_FOLDER) + "/bulrushspring-platformd";
-    options.folder = directory.string();
+    auto options = test::make_site_options("poison");
     options.daemons = daemons;
     options.shards = shards;
     const auto poison = prefix + "poison";
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,9 +1,8 @@
 #define BOOST_TEST_MODULE soak
 #include "fakes/site/soak.hpp"
+#include "tests/soak/site_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <csignal>
-#include <filesystem>
 
 using namespace bulrushspring;
 
@@ -13,16 +12,8 @@
 site::soak_report run_with(std::uint64_t seed, duration fault_duration,
                            bool planned_only = false)
 {
-    std::signal(SIGPIPE, SIG_IGN);
     site::soak_options options;
-    const auto directory =
-        std::filesystem::temp_directory_path() /
-        ("bulrushspring-test-soak-" + std::to_string(getpid()) + "-" +
-         std::to_string(seed));
-    std::filesystem::create_directories(directory);
-    options.site.program =
-        std::string(BULRUSHSPRING_BINARY_FOLDER) + "/bulrushspring-platformd";
-    options.site.folder = directory.string();
+    options.site = test::make_site_options("soak-" + std::to_string(seed));
     options.site.seed = seed;
     options.planned_only = planned_only;
     options.late_callers = planned_only ? 150 : 40;
