topology: Send a complete list to peers that know what a listing skipped

A listing brings a daemon to a revision without the removals of records that it never had. It notes the revisions that its last list skipped, and sends a complete list to a peer that asks from within them. From the earlier end of that gap it knows all removals itself and answers incrementally, so that the complete lists of a started daemon don't spread through the fleet.

a_peer_is_sent_only_the_records_it_lacks asserted the faulty reply (a peer at revision 7, a listing at 9); it now asks from 9, and both cases of a gap have tests of their own, which failed before.

--- a/libraries/topology/records.cpp
+++ b/libraries/topology/records.cpp
@@ -222,6 +222,17 @@
     }
 }
 
+void note_skipped_changes(state& self, std::uint64_t listed_revision)
+{
+    if (listed_revision <= self.revision) {
+        return;
+    }
+    self.forgotten_revision =
+        std::max(self.forgotten_revision, self.skipped_until);
+    self.skipped_from = self.revision;
+    self.skipped_until = listed_revision;
+}
+
 void purge_removals(state& self, boot_time now)
 {
     for (auto it = self.records.begin(); it != self.records.end();) {
@@ -245,7 +256,9 @@
 {
     wire::records_reply reply;
     reply.revision = self.revision;
-    reply.complete = after < self.forgotten_revision || after == 0;
+    const bool skipped =
+        after > self.skipped_from && after < self.skipped_until;
+    reply.complete = after == 0 || after < self.forgotten_revision || skipped;
     for (const auto& [key, known] : self.records) {
         const auto& published = known.published;
         if (reply.complete ? !published.removed : published.revision > after) {
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -179,6 +179,7 @@
     }
     if (event.complete && event.revision >= self.revision) {
         remove_unlisted(self, event, result, context);
+        note_skipped_changes(self, event.revision);
     }
     self.revision = std::max(self.revision, event.revision);
     if (from_store) {
--- a/libraries/topology/topology.hpp
+++ b/libraries/topology/topology.hpp
@@ -133,6 +133,11 @@
     // The highest revision of a removal that has been deleted from `records`.
     // A peer that knows only earlier revisions is sent a complete list.
     std::uint64_t forgotten_revision = 0;
+    // The last complete list skipped the changes between these revisions: of
+    // records that came and went meanwhile, or before this daemon knew any, it
+    // has no removal. A peer that knows some of them is sent a complete list.
+    std::uint64_t skipped_from = 0;
+    std::uint64_t skipped_until = 0;
     routing::table_pointer table; // null until one is known
     std::string table_key;        // of the table's record
     // The store's era; see era.hpp.
--- a/tests/topology/topology_fixture.hpp
+++ b/tests/topology/topology_fixture.hpp
@@ -76,6 +76,16 @@
         apply(datagram_received{ping.from.peer, ping});
     }
 
+    // The reply to a peer that knows the changes up to this revision.
+    wire::records_reply reply_to_peer_at(std::uint64_t revision)
+    {
+        effects.clear();
+        apply(peer_request_received{
+            peer_token{1}, {}, wire::records_request{revision}});
+        return std::get<wire::records_reply>(
+            std::get<reply_to_peer>(effects.back()).reply);
+    }
+
     std::size_t take_peer_requests()
     {
         const auto count =
--- a/tests/topology/topology_test.cpp
+++ b/tests/topology/topology_test.cpp
@@ -122,23 +122,51 @@
 {
     receive_records(9, true, {leaf("a", 3), leaf("b", 8), table(1, 2)});
     receive_records(10, false, {leaf("a", 10, true)});
-    effects.clear();
-    apply(peer_request_received{peer_token{1}, {}, wire::records_request{7}});
-    const auto reply = std::get<wire::records_reply>(
-        std::get<reply_to_peer>(effects.back()).reply);
-    BOOST_TEST(reply.revision == 10U);
+    receive_records(11, false, {leaf("b", 11)});
+    const auto reply = reply_to_peer_at(9);
+    BOOST_TEST(reply.revision == 11U);
     BOOST_TEST(!reply.complete);
     BOOST_REQUIRE_EQUAL(reply.records.size(), 2U);
     BOOST_TEST(reply.records[0].removed);
     BOOST_TEST(reply.records[1].key == "leaf/b");
     // A peer with no records, or too few to continue from, is sent all.
-    apply(peer_request_received{peer_token{2}, {}, wire::records_request{0}});
-    const auto all = std::get<wire::records_reply>(
-        std::get<reply_to_peer>(effects.back()).reply);
+    const auto all = reply_to_peer_at(0);
     BOOST_TEST(all.complete);
     BOOST_TEST(all.records.size() == 2U);
 }
 
+// DRAIN on the bench: a leaf was removed, a daemon that had just started listed
+// the records without it, and its peers took no notice of the removal.
+BOOST_FIXTURE_TEST_CASE(
+    a_peer_learns_of_removals_that_this_daemon_has_never_heard_of, fixture)
+{
+    receive_records(9, true, {leaf("b", 4), table(1, 2)});
+    const auto reply = reply_to_peer_at(7);
+    BOOST_TEST(reply.complete);
+    BOOST_TEST(reply.records.size() == 2U);
+}
+
+// A list that this daemon needed itself: it knows what was removed since its
+// earlier revision, but not what came and went meanwhile.
+BOOST_FIXTURE_TEST_CASE(a_list_hides_what_came_and_went_since_the_last_one,
+                        fixture)
+{
+    receive_records(5, true, {leaf("a", 3), leaf("b", 4)});
+    receive_records(9, true, {leaf("b", 4)});
+    const auto reply = reply_to_peer_at(5);
+    BOOST_TEST(!reply.complete);
+    BOOST_REQUIRE_EQUAL(reply.records.size(), 1U);
+    BOOST_TEST(reply.records[0].key == "leaf/a");
+    BOOST_TEST(reply.records[0].removed);
+    BOOST_TEST(reply_to_peer_at(7).complete);
+    BOOST_TEST(reply_to_peer_at(4).complete);
+    // The next list hides no less.
+    receive_records(12, true, {leaf("b", 4)});
+    BOOST_TEST(reply_to_peer_at(7).complete);
+    BOOST_TEST(!reply_to_peer_at(9).complete);
+    BOOST_TEST(reply_to_peer_at(10).complete);
+}
+
 BOOST_FIXTURE_TEST_CASE(daemons_without_a_role_read_only_from_peers, fixture)
 {
     set_role(state, store_role::none, clock.now());
