Remove includes that the split left behind; name a partition so

No behaviour changes: <deque> in fakes/site/leaf.hpp moved to rate_check with the check, <limits> in poison.cpp to wire with the ages, and a comment of the proxy still said "cuts off".

--- a/fakes/site/leaf.hpp
+++ b/fakes/site/leaf.hpp
@@ -5,7 +5,6 @@
 #include "fakes/limits/rate_check.hpp"
 #include "libraries/http/server.hpp"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <unordered_map>
--- a/fakes/site/proxy.hpp
+++ b/fakes/site/proxy.hpp
@@ -62,7 +62,7 @@
                             void* argument);
     static void on_classify(evutil_socket_t socket, short events,
                             void* argument);
-    // Cuts off, or lets pass, the connections accepted long enough ago.
+    // Partitions, or lets pass, the connections accepted long enough ago.
     void classify();
     void forward(connection_pair& connection);
     void close(connection_pair& connection, bool reset);
--- a/libraries/poison/poison.cpp
+++ b/libraries/poison/poison.cpp
@@ -1,7 +1,6 @@
 #include "libraries/poison/poison.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 
 namespace bulrushspring::poison
