--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -8,9 +8,9 @@
 {
 
 constexpr std::size_t daemon_count = 3;
-constexpr std::size_t leaf_count = 3;
-constexpr std::size_t client_count = 48;
-constexpr long traffic_ms = 80000;
+constexpr std::size_t leaf_count = 5;
+constexpr std::size_t client_count = 36;
+constexpr long traffic_ms = 90000;
 // garble, how "extra late": share 0.6 of the leafs, 0.04 of their answers, for
 // 5 s; here each 6 s.
 constexpr double faulty_share = 0.6;
@@ -30,7 +30,7 @@
     return "{\"version\":7,\"routes\":[{\"name\":\"order\",\"host\":"
            "\"site.example\",\"prefix\":\"/order/\",\"kind\":\"unsafe\","
            "\"timeoutMs\":8000,\"targetLatencyMs\":500,\"priority\":2,"
-           "\"service\":\"tracker\",\"maxAttempts\":2}],\"services\":[" +
+           "\"service\":\"tracker\",\"maxAttempts\":1}],\"services\":[" +
            service_text("tracker", 214) + "],\"limits\":" + limits_text() +
            "}";
 }
@@ -106,8 +106,10 @@
                 made.answered_at = elapsed_ms();
                 record.line("client gets " + std::to_string(result.status) +
                             " for " + made.id);
-                const std::lock_guard lock(mutex);
-                outcomes.push_back(made);
+                {
+                    const std::lock_guard lock(mutex);
+                    outcomes.push_back(made);
+                }
                 sleep_ms(result.status == 200 ? 10 : 100);
             }
         });
--- a/review/common/harness.hh
+++ b/review/common/harness.hh
@@ -28,6 +28,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -649,6 +650,7 @@
         const auto log = folder + "/" + which.name + ".log";
         which.process = fork();
         if (which.process == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the stand-in
             const int to =
                 open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(to, STDOUT_FILENO);
--- a/review/common/leaf.hh
+++ b/review/common/leaf.hh
@@ -37,8 +37,11 @@
     unsigned queue = 3;
     long work_ms = 100;
     // The share of its answers that it sends a second time, late: where the
-    // next answer on the connection is expected.
+    // next answer on the connection is expected. They are all refusals.
     std::function<double()> extra_share = [] { return 0.0; };
+    // The share of its runs that end with its own failure: 503 with its seal,
+    // without Not-Executed.
+    std::function<double()> failure_share = [] { return 0.0; };
 };
 
 class leaf
@@ -58,6 +61,7 @@
     const leaf_options& options() const { return options_; }
     std::atomic<long> refused{0};
     std::atomic<long> extras{0};
+    std::atomic<long> failures{0};
 
 private:
     bool draws(double share)
@@ -66,6 +70,24 @@
         return std::uniform_real_distribution<>()(random_) < share;
     }
 
+    // Whether the share of answers sent twice allows one more.
+    bool repeats(const std::string& answer)
+    {
+        const double share = options_.extra_share();
+        if (share <= 0) {
+            return false;
+        }
+        const std::lock_guard lock(random_mutex_);
+        ++answered_;
+        if (answer.find("Not-Executed") == std::string::npos ||
+            static_cast<double>(repeated_ + 1) >
+                share * static_cast<double>(answered_)) {
+            return false;
+        }
+        ++repeated_;
+        return true;
+    }
+
     // Returns false if the leaf is full.
     bool begin_run()
     {
@@ -112,6 +134,15 @@
         record_.line("leaf " + options_.id + " runs " + id);
         sleep_ms(options_.work_ms);
         end_run();
+        if (draws(options_.failure_share())) {
+            ++failures;
+            record_.line("leaf " + options_.id + " has run " + id +
+                         " and fails with 503");
+            return answer_text(503, "Service Unavailable",
+                               {{"Attempt-Id", id},
+                                {"Server-Seal", options_.id + "." + id}},
+                               "failed " + id);
+        }
         return answer_text(200, "OK",
                            {{"Attempt-Id", id},
                             {"Server-Seal", options_.id + "." + id}},
@@ -139,7 +170,7 @@
             if (!send_all(socket, answer)) {
                 return;
             }
-            if (draws(options_.extra_share())) {
+            if (repeats(answer)) {
                 extra = answer;
                 extra_of = asked->header("attempt-id");
             }
@@ -153,6 +184,8 @@
     std::condition_variable freed_;
     unsigned running_ = 0;
     unsigned waiting_ = 0;
+    long answered_ = 0; // while it sends some twice
+    long repeated_ = 0;
     std::mutex random_mutex_;
     std::mt19937 random_{std::random_device{}()};
     acceptor acceptor_;
