--- a/review/common/harness.hh
+++ b/review/common/harness.hh
@@ -349,10 +349,30 @@
         changed_.notify_all();
     }
 
-    // Takes part in each answer to a daemon: returns false to refuse it.
-    std::function<bool(const message&)> serves = [](const message&) {
-        return true;
-    };
+    // Keeps a copy of what the store holds.
+    void save_copy()
+    {
+        const std::lock_guard lock(mutex_);
+        copied_items_ = items_;
+        copied_revision_ = revision_;
+    }
+
+    // Answers 503 until it is back. A watch that waits is cut.
+    void go_away() { away_ = true; }
+
+    // Comes back from the copy. Revisions are given out again.
+    void come_back_from_copy()
+    {
+        const std::lock_guard lock(mutex_);
+        items_ = copied_items_;
+        revision_ = copied_revision_;
+        history_.clear();
+        forgotten_ = revision_;
+        ++era_;
+        away_ = false;
+        changed_.notify_all();
+    }
+
     long history_ms = 20000;
     // An answer to a watch ends once it is longer, and the next begins there;
     // 0: no limit.
@@ -465,6 +485,10 @@
                 forgotten_ = history_.front().revision;
                 history_.pop_front();
             }
+            if (away_) {
+                status = 503;
+                return "{}";
+            }
             if (after < forgotten_ || after > revision_) {
                 status = 410;
                 return "{}";
@@ -493,7 +517,8 @@
                 return "{\"events\":[" + list +
                        "],\"storeRevision\":" + std::to_string(shown) + "}";
             }
-            changed_.wait_until(lock, until);
+            changed_.wait_until(
+                lock, std::min(until, steady::now() + milliseconds{100}));
         }
     }
 
@@ -504,7 +529,7 @@
             unsigned status = 200;
             std::string body = "{}";
             const auto target = asked->target();
-            if (!serves(*asked)) {
+            if (away_) {
                 status = 503;
             } else if (target.rfind("/kv-key", 0) == 0) {
                 body = answer_key(target, status);
@@ -517,7 +542,8 @@
             }
             if (!send_all(socket,
                           answer_text(status, status == 200 ? "OK" : "Status",
-                                      {{"Content-Type", "application/json"}},
+                                      {{"Content-Type", "application/json"},
+                                       {"Store-Era", std::to_string(era_)}},
                                       body))) {
                 return;
             }
@@ -530,6 +556,10 @@
     std::deque<change> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t forgotten_ = 0;
+    std::map<std::string, item> copied_items_;
+    std::uint64_t copied_revision_ = 0;
+    std::atomic<bool> away_{false};
+    std::atomic<unsigned> era_{0};
     acceptor acceptor_;
 };
 
