--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -31,8 +31,7 @@
            "\"site.example\",\"prefix\":\"/order/\",\"kind\":\"unsafe\","
            "\"timeoutMs\":8000,\"targetLatencyMs\":500,\"priority\":2,"
            "\"service\":\"tracker\",\"maxAttempts\":1}],\"services\":[" +
-           service_text("tracker", 214) + "],\"limits\":" + limits_text() +
-           "}";
+           service_text("tracker", 214) + "],\"limits\":" + limits_text() + "}";
 }
 
 } // namespace
@@ -59,9 +58,8 @@
         made.service = "tracker";
         made.at = net.next(8080);
         made.zone = system.zones[i % 3];
-        const bool faulty =
-            static_cast<double>(i) <
-            faulty_share * static_cast<double>(leaf_count);
+        const bool faulty = static_cast<double>(i) <
+                            faulty_share * static_cast<double>(leaf_count);
         made.extra_share = [&traffic_from, faulty] {
             const long since = elapsed_ms() - traffic_from;
             return disturbs() && faulty && traffic_from >= 0 &&
@@ -93,15 +91,14 @@
     for (std::size_t i = 0; i < client_count; ++i) {
         clients.emplace_back([&, i] {
             client asks(system.daemons[i % daemon_count].front());
-            for (std::size_t n = 0;
-                 elapsed_ms() < traffic_from + traffic_ms; ++n) {
+            for (std::size_t n = 0; elapsed_ms() < traffic_from + traffic_ms;
+                 ++n) {
                 outcome made;
                 made.id = "c" + std::to_string(i) + "n" + std::to_string(n);
-                const auto result =
-                    asks.ask(request_text("POST", "/order/" + made.id,
-                                          "site.example", made.id, deadline_ms,
-                                          "board " + made.id),
-                             deadline_ms);
+                const auto result = asks.ask(
+                    request_text("POST", "/order/" + made.id, "site.example",
+                                 made.id, deadline_ms, "board " + made.id),
+                    deadline_ms);
                 made.status = result.status;
                 made.answered_at = elapsed_ms();
                 record.line("client gets " + std::to_string(result.status) +
@@ -147,8 +144,7 @@
     }
     std::string summary = "summary:";
     for (const auto& [status, count] : statuses) {
-        summary +=
-            " " + std::to_string(status) + "x" + std::to_string(count);
+        summary += " " + std::to_string(status) + "x" + std::to_string(count);
     }
     long shed = 0;
     long extras = 0;
--- a/review/common/harness.hh
+++ b/review/common/harness.hh
@@ -230,9 +230,9 @@
 private:
     bool fill(steady::time_point until)
     {
-        const auto left = std::chrono::duration_cast<milliseconds>(
-                              until - steady::now())
-                              .count();
+        const auto left =
+            std::chrono::duration_cast<milliseconds>(until - steady::now())
+                .count();
         pollfd wait{socket_, POLLIN, 0};
         if (left <= 0 || poll(&wait, 1, static_cast<int>(left)) != 1) {
             timed_out = true;
@@ -400,16 +400,14 @@
         std::string pair;
         while (std::getline(pairs, pair, '&')) {
             const auto equals = pair.find('=');
-            if (pair.substr(0, equals) != name ||
-                equals == std::string::npos) {
+            if (pair.substr(0, equals) != name || equals == std::string::npos) {
                 continue;
             }
             std::string plain;
             for (std::size_t i = equals + 1; i < pair.size(); ++i) {
                 if (pair[i] == '%' && i + 2 < pair.size()) {
-                    plain += static_cast<char>(
-                        std::strtoul(pair.substr(i + 1, 2).c_str(), nullptr,
-                                     16));
+                    plain += static_cast<char>(std::strtoul(
+                        pair.substr(i + 1, 2).c_str(), nullptr, 16));
                     i += 2;
                 } else {
                     plain += pair[i];
@@ -475,13 +473,12 @@
             std::strtoull(parameter(target, "after").c_str(), nullptr, 10);
         const auto until =
             steady::now() +
-            milliseconds{std::strtol(parameter(target, "waitMs").c_str(),
-                                     nullptr, 10)};
+            milliseconds{
+                std::strtol(parameter(target, "waitMs").c_str(), nullptr, 10)};
         std::unique_lock lock(mutex_);
         for (;;) {
-            while (!history_.empty() &&
-                   steady::now() - history_.front().at >
-                       milliseconds{history_ms}) {
+            while (!history_.empty() && steady::now() - history_.front().at >
+                                            milliseconds{history_ms}) {
                 forgotten_ = history_.front().revision;
                 history_.pop_front();
             }
@@ -568,8 +565,9 @@
                                 const std::string& state = "ready")
 {
     return "{\"service\":\"" + service + "\",\"address\":\"" + at.text() +
-           "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":" +
-           std::to_string(slots) + ",\"state\":\"" + state +
+           "\",\"zone\":\"" + zone +
+           "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots) +
+           ",\"state\":\"" + state +
            "\",\"coldRemainingMs\":0,\"born\":1700000000000,\"sequence\":1}";
 }
 
@@ -577,8 +575,7 @@
 {
     return "{\"name\":\"" + name +
            "\",\"healthPath\":\"/health\",\"maxConnections\":" +
-           std::to_string(connections) +
-           ",\"protocol\":\"h1\",\"tls\":false}";
+           std::to_string(connections) + ",\"protocol\":\"h1\",\"tls\":false}";
 }
 
 inline std::string limits_text()
@@ -685,8 +682,8 @@
                 open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(to, STDOUT_FILENO);
             dup2(to, STDERR_FILENO);
-            char* const environment[] = {
-                const_cast<char*>(settings.c_str()), nullptr};
+            char* const environment[] = {const_cast<char*>(settings.c_str()),
+                                         nullptr};
             execle(program.c_str(), program.c_str(), "--metrics_port=9790",
                    nullptr, environment);
             _exit(127);
@@ -783,9 +780,8 @@
 inline bool is_ready(const daemon& which)
 {
     client asks(which.readiness());
-    return asks
-               .ask("GET /ready HTTP/1.1\r\nHost: " +
-                        which.readiness().text() + "\r\n\r\n",
+    return asks.ask("GET /ready HTTP/1.1\r\nHost: " + which.readiness().text() +
+                        "\r\n\r\n",
                     1000)
                .status == 200;
 }
--- a/review/common/leaf.hh
+++ b/review/common/leaf.hh
@@ -115,10 +115,9 @@
     {
         const auto id = asked.header("attempt-id");
         if (asked.header("target-instance") != options_.id) {
-            return answer_text(421, "Misdirected Request",
-                               {{"Attempt-Id", id},
-                                {"Instance-Id", options_.id}},
-                               "");
+            return answer_text(
+                421, "Misdirected Request",
+                {{"Attempt-Id", id}, {"Instance-Id", options_.id}}, "");
         }
         if (asked.target() == "/health") {
             return answer_text(200, "OK", {{"Instance-Id", options_.id}}, "");
@@ -127,8 +126,7 @@
             ++refused;
             record_.line("leaf " + options_.id + " refuses " + id);
             return answer_text(503, "Service Unavailable",
-                               {{"Attempt-Id", id}, {"Not-Executed", "1"}},
-                               "");
+                               {{"Attempt-Id", id}, {"Not-Executed", "1"}}, "");
         }
         runs_.add(id, options_.id);
         record_.line("leaf " + options_.id + " runs " + id);
@@ -138,15 +136,15 @@
             ++failures;
             record_.line("leaf " + options_.id + " has run " + id +
                          " and fails with 503");
-            return answer_text(503, "Service Unavailable",
-                               {{"Attempt-Id", id},
-                                {"Server-Seal", options_.id + "." + id}},
-                               "failed " + id);
+            return answer_text(
+                503, "Service Unavailable",
+                {{"Attempt-Id", id}, {"Server-Seal", options_.id + "." + id}},
+                "failed " + id);
         }
-        return answer_text(200, "OK",
-                           {{"Attempt-Id", id},
-                            {"Server-Seal", options_.id + "." + id}},
-                           "done " + id);
+        return answer_text(
+            200, "OK",
+            {{"Attempt-Id", id}, {"Server-Seal", options_.id + "." + id}},
+            "done " + id);
     }
 
     void serve(int socket)
