topology, shell: Report failed requests for records, and slow ones

No decision changes.

Evidence: test_wire, test_catalogue, test_gateway, and the test cases that test_shell and test_topology had before pass.

--- a/libraries/gateway_shell/runner.cpp
+++ b/libraries/gateway_shell/runner.cpp
@@ -275,10 +275,12 @@
 // their encoding.
 void runner::handle_records(const peer_reply_received& replied)
 {
+    const auto begun_at = clock_.now();
     auto learned = replied.reply ? topology::read_reply(replied.reply.value(),
                                                         protocol_.decode_record)
                                  : std::nullopt;
     if (learned) {
+        learned->decoding = clock_.now() - begun_at;
         post(std::move(*learned));
     } else {
         post(replied);
--- a/libraries/topology/events.hpp
+++ b/libraries/topology/events.hpp
@@ -80,13 +80,24 @@
     "The peers run an older version of this program and do not deliver all "
     "kinds of records: this daemon reads the store itself for a while."};
 
+inline constexpr event_definition peer_request_failed{
+    9017, severity::info, "peer_request_failed", "peer ms cause",
+    "A request for records that was sent to a peer has failed after `ms`. It "
+    "is "
+    "sent again after the next digest, which may come from another peer."};
+inline constexpr event_definition peer_records_received{
+    9018, severity::info, "peer_records_received",
+    "peer records bytes ms decoding_ms",
+    "A peer has sent more than 64 KiB of records. `ms` is the time from the "
+    "request until they were decoded, of which decoding took `decoding_ms`."};
+
 inline constexpr std::array all_events = {
-    &table_accepted,     &table_refused,    &record_unreadable,
-    &leaf_listed,        &leaf_removed,     &store_lost,
-    &store_regained,     &history_gone,     &peer_ahead,
-    &store_restored,     &leaf_unconfirmed, &record_too_large,
-    &changes_too_large,  &peer_table_ahead, &peer_asked,
-    &reads_store_itself,
+    &table_accepted,     &table_refused,       &record_unreadable,
+    &leaf_listed,        &leaf_removed,        &store_lost,
+    &store_regained,     &history_gone,        &peer_ahead,
+    &store_restored,     &leaf_unconfirmed,    &record_too_large,
+    &changes_too_large,  &peer_table_ahead,    &peer_asked,
+    &reads_store_itself, &peer_request_failed, &peer_records_received,
 };
 
 } // namespace bulrushspring::topology
--- a/libraries/topology/peers.cpp
+++ b/libraries/topology/peers.cpp
@@ -65,6 +65,7 @@
     auto& peers = self.peers;
     peers.purpose = purpose;
     peers.asked = to;
+    peers.asked_at = context.now;
     peers.exchange = context.new_identifier<exchange_id>();
     context.emit(send_peer_request{*peers.exchange, to, std::move(request),
                                    self.settings.peer_timeout});
@@ -234,10 +235,30 @@
     }
 }
 
-void fail_request(state& self, boot_time now)
+void log_received(const state& self, const records_learned& event,
+                  context& context)
+{
+    constexpr std::size_t logged_bytes = 64UL * 1024;
+    if (event.bytes <= logged_bytes) {
+        return;
+    }
+    const auto& peers = self.peers;
+    context.emit(write_log{make_record(
+        peer_records_received, field("peer", to_string(peers.asked)),
+        field("records", event.records.size()), field("bytes", event.bytes),
+        field("ms", to_milliseconds(context.now - peers.asked_at)),
+        field("decoding_ms", to_milliseconds(event.decoding)))});
+}
+
+void fail_request(state& self, const error& cause, context& context)
 {
     // Waits for the next digest, which may come from another peer.
     auto& peers = self.peers;
+    const auto now = context.now;
+    context.emit(write_log{make_record(
+        peer_request_failed, field("peer", to_string(peers.asked)),
+        field("ms", to_milliseconds(now - peers.asked_at)),
+        field("cause", cause.code.message() + " " + cause.detail))});
     peers.exchange.reset();
     peers.list.reset();
     peers.first.reset();
--- a/libraries/topology/peers.hpp
+++ b/libraries/topology/peers.hpp
@@ -33,8 +33,11 @@
 // Draws the conclusions of an answer that has been applied.
 void finish_request(state&, context&);
 
+// Logs the answer to the request in progress if it is large.
+void log_received(const state&, const records_learned& event, context&);
+
 // Ends the request in progress, which has failed.
-void fail_request(state&, boot_time now);
+void fail_request(state&, const error& cause, context&);
 
 // When request_if_due is to be called again.
 boot_time next_request(const state&);
--- a/libraries/topology/replies.cpp
+++ b/libraries/topology/replies.cpp
@@ -184,6 +184,7 @@
         learned.revision = received.revision;
         learned.complete = received.complete;
         for (const auto& each : received.records) {
+            learned.bytes += each.content.size();
             learned.records.push_back(decode(each));
         }
     };
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -155,6 +155,7 @@
                         outcome& result, context& context)
 {
     const bool usable = era_of(event.revision) >= self.era;
+    log_received(self, event, context);
     const auto received = receive_answer(self, event);
     if (!received) {
         return;
@@ -281,7 +282,12 @@
 {
     // A reply with records arrives as records_learned; any other is a failure.
     if (self.peers.exchange == event.exchange) {
-        fail_request(self, context.now);
+        fail_request(self,
+                     event.reply
+                         ? error{errc::malformed, "ask peer for records", "",
+                                 "another kind of reply"}
+                         : event.reply.error(),
+                     context);
     }
 }
 
--- a/libraries/topology/topology.hpp
+++ b/libraries/topology/topology.hpp
@@ -63,6 +63,9 @@
     // The source knows the kinds of records of this protocol level.
     std::uint32_t level = protocol_level;
     bool more = false; // from a peer: the next piece has to be requested
+    // From a peer: the size of the contents, and how long they took to decode.
+    std::size_t bytes = 0;
+    duration decoding{0};
 };
 
 // A request to the store failed. `history_gone`: the store no longer holds the
@@ -191,6 +194,7 @@
     std::optional<exchange_id> exchange;            // the request in progress
     fetch_purpose purpose = fetch_purpose::changes; // of that request
     endpoint asked;                                 // the peer that it went to
+    boot_time asked_at{};
     peer_offer changes; // of peers of this program's level: their revision
     peer_offer basic_changes; // of peers of level 0: their revision
     peer_offer table;         // the version in use at the peer
