--- a/tests/topology/peers_test.cpp
+++ b/tests/topology/peers_test.cpp
@@ -275,3 +275,32 @@
     clock.advance(state.settings.reads_itself_for);
     BOOST_TEST(peers_deliver(state, clock.now()));
 }
+
+// CONFIG: each failed request made a daemon forget that a peer had a newer
+// revision. It took its own records for current, and answered 404 for routes
+// that it had not received.
+BOOST_FIXTURE_TEST_CASE(records_are_out_of_date_while_requests_keep_failing,
+                        fixture)
+{
+    receive_records(10, true, {leaf("a", 3), table(1, 2)});
+    set_role(state, store_role::none, clock.now());
+    BOOST_TEST(is_up_to_date(state, clock.now()));
+    wire::ping ping;
+    ping.from.peer = parse_endpoint("127.0.0.1:7002").value();
+    ping.in_force = to_wire({12, protocol_level, 12, 2, true});
+    const auto failed_after = state.settings.peer_timeout;
+    for (duration passed{0}; passed < 2 * state.settings.max_staleness;
+         passed += failed_after) {
+        apply(datagram_received{ping.from.peer, ping});
+        clock.advance(state.settings.peer_fetch_delay);
+        apply(tick{});
+        const auto asked = take_peer_request();
+        BOOST_REQUIRE(asked.has_value());
+        clock.advance(failed_after);
+        apply(peer_reply_received{asked->exchange,
+                                  error{errc::timed_out, "", "", ""}});
+    }
+    BOOST_TEST(!is_up_to_date(state, clock.now()));
+    receive_records(12, false, {table(2, 12)}, "peer");
+    BOOST_TEST(is_up_to_date(state, clock.now()));
+}
