shell: Time exchanges between daemons by their progress

A request for records had 0.7 s from its start to the last byte of the reply. A table of 0.79 MB takes 0.45 s on a link of 14 Mbit/s alone, and longer if the sender serves others: of 763 requests 187 brought a table, and what had arrived of the others was thrown away.

The timeout counts from the last byte that arrived, and a whole exchange may take 5 s, as the responder allows. All users of these exchanges gain it: the manifest and the list of VMs are fetched the same way.

shell/a_reply_that_keeps_arriving_does_not_time_out failed before and passes.

--- a/libraries/shell/peer_streams.cpp
+++ b/libraries/shell/peer_streams.cpp
@@ -12,7 +12,8 @@
 {
 
 constexpr std::size_t max_incoming_streams = 64;
-constexpr seconds incoming_timeout{5};
+// The time allowed for a whole exchange.
+constexpr seconds max_exchange{5};
 constexpr int listen_backlog = 128;
 
 error stream_error(errc code, const char* step, const endpoint& peer)
@@ -85,11 +86,22 @@
                       made.get());
     bufferevent_enable(made->buffer.get(), EV_READ | EV_WRITE);
     made->timer.reset(event_new(base_, -1, 0, on_timeout, made.get()));
-    const timeval limit = to_timeval(timeout);
-    event_add(made->timer.get(), &limit);
+    made->timeout = timeout;
+    made->begun_at = system_boot_clock{}.now();
+    restart_timer(*made);
     return made;
 }
 
+// An exchange that makes progress may take longer than its timeout, since a
+// busy link shares its bandwidth among many.
+void peer_streams::restart_timer(stream& of)
+{
+    const duration left =
+        of.begun_at + max_exchange - system_boot_clock{}.now();
+    const timeval limit = to_timeval(std::min(of.timeout, left));
+    event_add(of.timer.get(), &limit);
+}
+
 void peer_streams::on_accept(evconnlistener* /*listener*/,
                              evutil_socket_t socket, sockaddr* from,
                              int /*size*/, void* self)
@@ -99,10 +111,9 @@
         evutil_closesocket(socket);
         return;
     }
-    auto made = streams.make_stream(socket, incoming_timeout);
+    auto made = streams.make_stream(socket, max_exchange);
     made->id = ++streams.last_token_;
     made->peer = from_socket_address(*reinterpret_cast<sockaddr_in*>(from));
-    made->begun_at = system_boot_clock{}.now();
     streams.incoming_.emplace(made->id, std::move(made));
 }
 
@@ -184,6 +195,7 @@
     }
     if (size.value() == 0 || arrived < size.value()) {
         charge_memory(from);
+        restart_timer(from);
         return; // the frame is incomplete
     }
     handle_frame(from, content_of(input).substr(0, size.value()));
--- a/libraries/shell/peer_streams.hpp
+++ b/libraries/shell/peer_streams.hpp
@@ -39,7 +39,8 @@
         endpoint peer;
         stream_handle buffer;
         event_handle timer;
-        boot_time begun_at{}; // incoming
+        duration timeout{0}; // without progress
+        boot_time begun_at{};
         memory::charge memory;
     };
     using streams = std::unordered_map<std::uint64_t, std::unique_ptr<stream>>;
@@ -55,6 +56,7 @@
 
     std::unique_ptr<stream> make_stream(evutil_socket_t socket,
                                         duration timeout);
+    static void restart_timer(stream& of);
     void handle_input(stream& from, evbuffer* input);
     void handle_frame(stream& from, std::string_view frame);
     static void charge_memory(stream& of);
