shell: Send large replies to few peers at a time

Up to 42 requests reached one VM; the replies were held in memory as well.

While more than 512 KiB of replies are unsent, a VM closes the connection of a peer that asks for documents, members or records; the peer asks another one. So the first replies are complete soon, and the VMs that got them serve the next ones. The counter is peer_replies_refused_total.

--- a/libraries/shell/peer_streams.cpp
+++ b/libraries/shell/peer_streams.cpp
@@ -15,6 +15,9 @@
 // The time allowed for a whole exchange.
 constexpr seconds max_exchange{5};
 constexpr int listen_backlog = 128;
+// While more than this of replies is unsent, no further large reply is begun.
+// Many of them at a time would all be late, and hold as much memory.
+constexpr std::size_t max_unsent_bytes = 512UL * 1024;
 
 error stream_error(errc code, const char* step, const endpoint& peer)
 {
@@ -36,6 +39,13 @@
            " bytes";
 }
 
+// Whether the reply may be large. A peer that gets none asks another one.
+bool is_bulk(const wire::peer_reply& reply)
+{
+    return !std::holds_alternative<wire::leaf_contact_reply>(reply) &&
+           !std::holds_alternative<wire::crash_reports_reply>(reply);
+}
+
 bool write_frame(bufferevent* buffer, const result<std::string>& frame)
 {
     return frame.has_value() && bufferevent_write(buffer, frame.value().data(),
@@ -146,6 +156,11 @@
         return;
     }
     auto& to = *found->second;
+    if (is_bulk(effect.reply) && unsent_bytes() > max_unsent_bytes) {
+        metrics::add(*sink_.metrics, metrics::counter::peer_replies_refused);
+        fail(to, stream_error(errc::overloaded, "reply to peer", to.peer));
+        return;
+    }
     const auto frame = wire::encode(effect.reply);
     if (!write_frame(to.buffer.get(), frame)) {
         fail(to, stream_error(errc::too_large, "reply to peer", to.peer));
@@ -157,6 +172,16 @@
     bufferevent_setcb(to.buffer.get(), nullptr, on_written, on_event, &to);
 }
 
+std::size_t peer_streams::unsent_bytes() const
+{
+    std::size_t total = 0;
+    for (const auto& [id, each] : incoming_) {
+        total +=
+            evbuffer_get_length(bufferevent_get_output(each->buffer.get()));
+    }
+    return total;
+}
+
 void peer_streams::on_written(bufferevent* /*buffer*/, void* argument)
 {
     auto& done = *static_cast<stream*>(argument);
--- a/libraries/shell/peer_streams.hpp
+++ b/libraries/shell/peer_streams.hpp
@@ -60,6 +60,8 @@
     void handle_input(stream& from, evbuffer* input);
     void handle_frame(stream& from, std::string_view frame);
     static void charge_memory(stream& of);
+    // Of all replies.
+    std::size_t unsent_bytes() const;
     void fail(stream& failed, const error& cause);
     void end(stream& ended);
 
