topology: Remember what peers have while requests for it fail

A failed request made it forget that: its records counted as up to date until the next digest, and for 1.5 s from then on. Where requests fail every 0.7 s, that time never passes, and 404 instead of 503 is what callers get.

What is missing is now remembered until it has arrived, with the time since when. Up to 8 peers that state it are remembered too; after a failure another one is asked within 0.1 s, not after the next digest, and one of them is chosen at random.

topology/records_are_out_of_date_while_requests_keep_failing failed before and passes; after_a_failure_another_peer_is_asked_without_a_digest is new.

--- a/libraries/topology/peers.cpp
+++ b/libraries/topology/peers.cpp
@@ -9,22 +9,51 @@
 namespace
 {
 
+// The peers that are remembered of those that state the same.
+constexpr std::size_t max_offering_peers = 8;
+
 // Of a newer offer the time to request it is that of the first one that has not
 // been fetched, so that a series of changes doesn't put it off.
 void note_offer(peer_offer& offer, std::uint64_t known, std::uint64_t value,
                 const endpoint& peer, boot_time fetch_at)
 {
-    if (value <= std::max(known, offer.value)) {
+    if (value <= known || value < offer.value) {
         return;
     }
-    const bool waiting = offer.value > known;
-    offer.value = value;
-    offer.peer = peer;
+    if (offer.value <= known) {
+        offer.missing_since = fetch_at;
+    }
+    const bool waiting = offer.value > known && !offer.peers.empty();
+    if (value > offer.value) {
+        offer.value = value;
+        offer.peers.clear();
+    }
+    if (offer.peers.size() < max_offering_peers &&
+        std::find(offer.peers.begin(), offer.peers.end(), peer) ==
+            offer.peers.end()) {
+        offer.peers.push_back(peer);
+    }
     if (!waiting) {
-        offer.fetch_at = fetch_at;
+        offer.fetch_at = std::max(offer.fetch_at, fetch_at);
+    }
+}
+
+// Gives up a peer that has failed to deliver. If no other one offers the same,
+// the next digest does.
+void drop_peer(peer_offer& offer, const endpoint& failed, boot_time retry_at)
+{
+    if (std::erase(offer.peers, failed) > 0) {
+        offer.fetch_at = retry_at;
     }
 }
 
+// One of the peers at random: all that have heard of a change from the same
+// digest would otherwise ask the same one.
+const endpoint& choose_peer(const peer_offer& offer, random_source& random)
+{
+    return offer.peers[random_below(random, offer.peers.size())];
+}
+
 void note_table(state& self, const endpoint& peer, std::uint64_t version,
                 boot_time now, boot_time fetch_at)
 {
@@ -45,6 +74,11 @@
     return offer.value > known;
 }
 
+bool can_request(const peer_offer& offer, std::uint64_t known)
+{
+    return lacks(offer, known) && !offer.peers.empty();
+}
+
 // When to ask the first peer: after the listing, so that the whole list need
 // not be sent, unless the store takes too long.
 boot_time first_request_at(const state& self)
@@ -106,22 +140,23 @@
 void request_table(state& self, context& context)
 {
     const auto& offer = self.peers.table;
-    context.emit(write_log{
-        make_record(peer_table_ahead, field("peer", to_string(offer.peer)),
-                    field("peer_version", offer.value),
-                    field("version", table_version_of(self)))});
-    send(self, fetch_purpose::table, offer.peer, changes_request(self),
-         context);
+    const auto peer = choose_peer(offer, self.random);
+    context.emit(
+        write_log{make_record(peer_table_ahead, field("peer", to_string(peer)),
+                              field("peer_version", offer.value),
+                              field("version", table_version_of(self)))});
+    send(self, fetch_purpose::table, peer, changes_request(self), context);
 }
 
 void request_changes(state& self, const peer_offer& offer,
                      const wire::peer_request& request, context& context)
 {
+    const auto peer = choose_peer(offer, self.random);
     context.emit(
-        write_log{make_record(peer_ahead, field("peer", to_string(offer.peer)),
+        write_log{make_record(peer_ahead, field("peer", to_string(peer)),
                               field("peer_revision", offer.value),
                               field("revision", self.revision))});
-    send(self, fetch_purpose::changes, offer.peer, request, context);
+    send(self, fetch_purpose::changes, peer, request, context);
 }
 
 } // namespace
@@ -174,12 +209,13 @@
         request_next_piece(self, context);
     } else if (context.now >= first_request_at(self)) {
         request_first(self, context);
-    } else if (lacks_table(self) && context.now >= peers.table.fetch_at) {
+    } else if (can_request(peers.table, table_version_of(self)) &&
+               context.now >= peers.table.fetch_at) {
         request_table(self, context);
-    } else if (lacks(peers.changes, self.revision) &&
+    } else if (can_request(peers.changes, self.revision) &&
                context.now >= peers.changes.fetch_at) {
         request_changes(self, peers.changes, changes_request(self), context);
-    } else if (lacks(peers.basic_changes, basic_revision_of(self)) &&
+    } else if (can_request(peers.basic_changes, basic_revision_of(self)) &&
                context.now >= peers.basic_changes.fetch_at) {
         request_changes(self, peers.basic_changes,
                         wire::records_request{basic_revision_of(self)},
@@ -252,7 +288,6 @@
 
 void fail_request(state& self, const error& cause, context& context)
 {
-    // Waits for the next digest, which may come from another peer.
     auto& peers = self.peers;
     const auto now = context.now;
     context.emit(write_log{make_record(
@@ -262,9 +297,12 @@
     peers.exchange.reset();
     peers.list.reset();
     peers.first.reset();
-    peers.changes = {self.revision, {}, now};
-    peers.basic_changes = {basic_revision_of(self), {}, now};
-    peers.table = {table_version_of(self), {}, now};
+    const double jitter = 0.5 + 0.5 * random_fraction(self.random);
+    const auto retry_at = now + std::chrono::duration_cast<duration>(
+                                    self.settings.peer_retry_pause * jitter);
+    for (auto* offer : {&peers.table, &peers.changes, &peers.basic_changes}) {
+        drop_peer(*offer, peers.asked, retry_at);
+    }
 }
 
 boot_time next_request(const state& self)
@@ -277,13 +315,13 @@
         return boot_time::min();
     }
     auto next = first_request_at(self);
-    if (lacks_table(self)) {
+    if (can_request(peers.table, table_version_of(self))) {
         next = std::min(next, peers.table.fetch_at);
     }
-    if (lacks(peers.changes, self.revision)) {
+    if (can_request(peers.changes, self.revision)) {
         next = std::min(next, peers.changes.fetch_at);
     }
-    if (lacks(peers.basic_changes, basic_revision_of(self))) {
+    if (can_request(peers.basic_changes, basic_revision_of(self))) {
         next = std::min(next, peers.basic_changes.fetch_at);
     }
     return next;
@@ -293,7 +331,7 @@
 {
     const auto overdue = [&](const peer_offer& offer, std::uint64_t known) {
         return lacks(offer, known) &&
-               now - offer.fetch_at >= self.settings.max_staleness;
+               now - offer.missing_since >= self.settings.max_staleness;
     };
     return overdue(self.peers.changes, self.revision) ||
            overdue(self.peers.basic_changes, basic_revision_of(self));
--- a/libraries/topology/topology.hpp
+++ b/libraries/topology/topology.hpp
@@ -114,7 +114,10 @@
     // How long this daemon waits for the store to deliver a change that a
     // peer already has before it requests the change from the peer.
     duration peer_fetch_delay = milliseconds{200};
-    duration peer_timeout = milliseconds{700};
+    duration peer_timeout = milliseconds{700}; // without progress
+    // After a failed request, the pause before another peer is asked, less a
+    // random part of up to a half.
+    duration peer_retry_pause = milliseconds{100};
     // A peer's higher revision that is still missing here after this time
     // means that the records known here may be out of date.
     duration max_staleness = milliseconds{1500};
@@ -166,11 +169,12 @@
     std::uint32_t since_level = 0;
 };
 
-// What a peer's digest states that is not known here.
+// What peers' digests state that is not known here.
 struct peer_offer {
-    std::uint64_t value = 0; // a revision or version
-    endpoint peer;
-    boot_time fetch_at{}; // when to request it
+    std::uint64_t value = 0;     // the highest revision or version
+    std::vector<endpoint> peers; // that state it and have not failed
+    boot_time fetch_at{};        // when to request it
+    boot_time missing_since{};   // here, if it still is
 };
 
 // A peer that serves callers, asked once after the start.
--- a/tests/topology/peers_test.cpp
+++ b/tests/topology/peers_test.cpp
@@ -1,6 +1,8 @@
 #include "libraries/wire/frame.hpp"
 #include "tests/topology/topology_fixture.hpp"
 
+#include <set>
+
 using namespace bulrushspring;
 using namespace bulrushspring::topology;
 using namespace bulrushspring::topology::test;
@@ -304,3 +306,35 @@
     receive_records(12, false, {table(2, 12)}, "peer");
     BOOST_TEST(is_up_to_date(state, clock.now()));
 }
+
+// A VM that is busy with other peers refuses a request at once. The next digest
+// may be seconds away.
+BOOST_FIXTURE_TEST_CASE(after_a_failure_another_peer_is_asked_without_a_digest,
+                        fixture)
+{
+    receive_records(10, true, {leaf("a", 3), table(1, 2)});
+    set_role(state, store_role::none, clock.now());
+    constexpr std::size_t offering = 3;
+    for (std::size_t i = 0; i < offering; ++i) {
+        wire::ping ping;
+        ping.from.peer = {0x7F000001, static_cast<std::uint16_t>(7002 + i)};
+        ping.in_force = to_wire({12, protocol_level, 12, 2, true});
+        apply(datagram_received{ping.from.peer, ping});
+    }
+    std::set<endpoint> asked;
+    for (std::size_t i = 0; i < offering; ++i) {
+        clock.advance(state.settings.peer_retry_pause);
+        BOOST_TEST((next_wakeup(state) <= clock.now()));
+        apply(tick{});
+        const auto request = take_peer_request();
+        BOOST_REQUIRE(request.has_value());
+        asked.insert(request->peer);
+        apply(peer_reply_received{request->exchange,
+                                  error{errc::closed, "", "", ""}});
+    }
+    BOOST_TEST(asked.size() == offering);
+    // None is left; nothing is requested until the next digest.
+    clock.advance(seconds{1});
+    apply(tick{});
+    BOOST_TEST(!take_peer_request().has_value());
+}
