--- a/fakes/site/site.cpp
+++ b/fakes/site/site.cpp
@@ -171,7 +171,7 @@
         }
     }
     const json limits = {{"maxHeaderBytes", 16384},
-                         {"maxBodyBytes", 65536},
+                         {"maxBodyBytes", options_.max_body_bytes},
                          {"headerTimeoutMs", 3000},
                          {"idleTimeoutMs", 15000}};
     shard_sets_.emplace_back(shards_.begin(), shards_.end());
--- a/fakes/site/site.hpp
+++ b/fakes/site/site.hpp
@@ -24,6 +24,7 @@
     // restarts no leafs.
     double cold_per_second = 0;
     std::uint64_t memory_mb = 0; // limits.memoryMb; 0: not in the settings
+    std::uint64_t max_body_bytes = 65536; // of callers' requests
     // Whether the settings have overload.admission=1.
     bool queue_admission = false;
 };
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -46,6 +46,7 @@
         }
     }
 
+    pid_t id() const { return id_; }
     void send(int signal) const { kill(id_, signal); }
 
     // Waits until the process ends and returns its exit status, or 128 plus the
