shell: Bound what callers of bulrushspringd may hold

A crowd of callers that sent legal bodies and stopped short of their end took bulrushspringd to 77 MB, and would have taken it beyond the memory of any VM: its evhttp servers limit a body, but not what all bodies together take, nor the connections. bulrushspring-platformd had that limit before.

Its servers for callers and operators are http::server now, which charges the memory account; limits.memory_mb (default 512 MB) bounds it, and incomplete requests are dropped with 503 and reason memory, the slowest first. The search for what to drop is shared by both daemons (memory::drop_excess). A dropped request states whether it may have been executed before, as any refusal does.

--- a/libraries/gateway_shell/memory_reclaim.cpp
+++ b/libraries/gateway_shell/memory_reclaim.cpp
@@ -118,19 +118,9 @@
     }
     const auto reserved = account_.reserved;
     const auto connections = account_.connections;
-    std::array<std::size_t, 4> counts{};
-    const auto drop_all = [&](const auto& chosen, bool silently) {
-        for (const auto& each : chosen) {
-            ++counts[static_cast<std::size_t>(each.kind)];
-            drop(each, silently);
-        }
-    };
-    if (const auto excess = memory::excess_connections(account_)) {
-        drop_all(memory::choose_connections(list_candidates(), excess), true);
-    }
-    if (const auto excess = memory::excess_bytes(account_)) {
-        drop_all(memory::choose_drops(list_candidates(), excess), false);
-    }
+    const auto counts = memory::drop_excess(
+        account_, [this] { return list_candidates(); },
+        [this](const auto& each, bool silently) { drop(each, silently); });
     if (!dropped_requests_.empty()) {
         post(gateway::memory_exceeded{std::exchange(dropped_requests_, {}),
                                       state_->memory_exhausted});
--- a/libraries/http/server.cpp
+++ b/libraries/http/server.cpp
@@ -105,6 +105,11 @@
     return made;
 }
 
+endpoint server::address() const
+{
+    return shell::bound_endpoint(evconnlistener_get_fd(listener_.get()));
+}
+
 void server::set_limits(const server_limits& limits)
 {
     limits_ = limits;
@@ -293,6 +298,9 @@
         answer.headers.push_back({"Retry-After", "1"});
     }
     events_.on_rejected(status, from.peer);
+    if (events_.complete_rejection) {
+        events_.complete_rejection(from.parser.message(), answer);
+    }
     from.repeatable = true;
     from.parser = request_parser(limits_.sizes);
     write(from, serialize_message(answer, true, false), true);
--- a/libraries/http/server.hpp
+++ b/libraries/http/server.hpp
@@ -28,6 +28,10 @@
     std::function<void(caller_token)> on_disconnected;
     // An invalid request was refused with the status.
     std::function<void(unsigned status, const endpoint& peer)> on_rejected;
+    // Completes the answer to such a request, of which `arrived` is what has
+    // been parsed. Not set: the answer has no body.
+    std::function<void(const request& arrived, response& answer)>
+        complete_rejection = nullptr;
 };
 
 // A strict HTTP/1.1 server. Each connection processes one request at a time. A
@@ -44,6 +48,9 @@
            memory::account* account = nullptr);
     ~server();
 
+    // The address that it is bound to, until `finish` closes it.
+    endpoint address() const;
+
     // Applies to each connection from its next request on.
     void set_limits(const server_limits& limits);
 
--- a/libraries/memory/account.cpp
+++ b/libraries/memory/account.cpp
@@ -160,6 +160,27 @@
         nullptr, count);
 }
 
+drop_counts
+drop_excess(const account& of,
+            const std::function<std::vector<candidate>()>& list,
+            const std::function<void(const candidate&, bool silently)>& drop)
+{
+    drop_counts counts{};
+    const auto drop_all = [&](const auto& chosen, bool silently) {
+        for (const auto& each : chosen) {
+            ++counts[static_cast<std::size_t>(each.kind)];
+            drop(each, silently);
+        }
+    };
+    if (const auto excess = excess_connections(of)) {
+        drop_all(choose_connections(list(), excess), true);
+    }
+    if (const auto excess = excess_bytes(of)) {
+        drop_all(choose_drops(list(), excess), false);
+    }
+    return counts;
+}
+
 bool end_reclaim(account& of)
 {
     if (of.limits.bytes == 0 || of.reserved <= of.limits.bytes) {
--- a/libraries/memory/account.hpp
+++ b/libraries/memory/account.hpp
@@ -1,6 +1,7 @@
 #ifndef BULRUSHSPRING_LIBRARIES_MEMORY_ACCOUNT_HPP
 #define BULRUSHSPRING_LIBRARIES_MEMORY_ACCOUNT_HPP
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -108,6 +109,15 @@
 std::vector<candidate> choose_connections(std::vector<candidate> all,
                                           std::uint64_t count);
 
+// The numbers of what was dropped, by drop_kind.
+using drop_counts = std::array<std::size_t, 4>;
+
+// Drops what exceeds the limits. `list` returns all candidates. `drop` drops
+// one of them; if `silently`, it closes the connection without an answer.
+drop_counts
+drop_excess(const account&, const std::function<std::vector<candidate>()>& list,
+            const std::function<void(const candidate&, bool silently)>& drop);
+
 // Ends a search for what to drop: until more is reserved, it is not repeated.
 // Returns whether the account still exceeds its limit.
 bool end_reclaim(account&);
--- a/libraries/settings/settings.cpp
+++ b/libraries/settings/settings.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint64_t default_address_count = 4;
 constexpr number_range reader_count_range{1, 8};
 constexpr std::uint64_t default_reader_count = 2;
+constexpr number_range memory_range_mb{16, 1'048'576};
+constexpr std::uint64_t default_memory_mb = 512;
 constexpr std::size_t max_seeds = 64;
 
 constexpr std::array<std::string_view, 5> known_sections = {
@@ -105,8 +107,12 @@
         reader, "most_addresses", address_count_range, default_address_count);
     into.readers = read_number(reader, "readers", reader_count_range,
                                default_reader_count);
+    constexpr std::uint64_t bytes_per_mb = 1024UL * 1024;
+    into.memory_bytes =
+        bytes_per_mb *
+        read_number(reader, "memory_mb", memory_range_mb, default_memory_mb);
     refuse_unknown_keys(reader, {"address_hold_ms", "grant_hold_ms",
-                                 "most_addresses", "readers"});
+                                 "most_addresses", "readers", "memory_mb"});
 }
 
 } // namespace
--- a/libraries/settings/settings.hpp
+++ b/libraries/settings/settings.hpp
@@ -26,6 +26,7 @@
     milliseconds grant_validity{0};   // validity of a grant
     std::size_t max_addresses = 0;    // in one address answer
     std::size_t readers = 0; // daemons per data centre that poll the platform
+    std::uint64_t memory_bytes = 0; // that the process may use
 };
 
 // Parses the content of a settings file. On failure returns all faults, not
--- a/libraries/shell/caller_server.cpp
+++ b/libraries/shell/caller_server.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/client/answer.hpp"
 #include "libraries/shell/caller_render.hpp"
+#include "libraries/shell/http.hpp"
 
 #include <algorithm>
 
@@ -17,6 +18,8 @@
 constexpr std::uint64_t max_deadline_ms = 600'000;
 constexpr std::uint64_t max_caller_attempt = 1'000'000;
 constexpr const char* json_content_type = "application/json";
+constexpr http::server_limits limits{
+    {max_header_bytes, max_request_body_bytes}, seconds{30}, seconds{120}};
 
 struct route_entry {
     std::string_view prefix;
@@ -39,37 +42,33 @@
            std::all_of(text.begin(), text.end(), allowed);
 }
 
-error malformed(evhttp_request* request, std::string detail)
+error malformed(const http::request& message, std::string detail)
 {
-    char* address = nullptr;
-    ev_uint16_t port = 0;
-    auto* connection = evhttp_request_get_connection(request);
-    if (connection != nullptr) {
-        evhttp_connection_get_peer(connection, &address, &port);
-    }
-    std::string peer = address == nullptr ? "" : address;
-    return error{errc::malformed, "read caller's request", std::move(peer),
-                 std::move(detail)};
+    return error{errc::malformed, "read caller's request",
+                 address_text({message.peer_address, 0}), std::move(detail)};
 }
 
 // Parses the optional numeric headers; absent ones keep their defaults.
-result<void> read_numeric_headers(evhttp_request* request, caller_request& into)
+result<void> read_numeric_headers(const http::request& message,
+                                  caller_request& into)
 {
-    auto* headers = evhttp_request_get_input_headers(request);
-    const auto deadline = header(headers, "Bulrushspring-Deadline-Ms");
+    const auto& headers = message.headers;
+    const auto deadline =
+        http::header_value(headers, "Bulrushspring-Deadline-Ms");
     if (!deadline.empty()) {
         const auto value = parse_number(deadline);
         if (!value || *value == 0 || *value > max_deadline_ms) {
-            return malformed(request, "Bulrushspring-Deadline-Ms: expected a "
+            return malformed(message, "Bulrushspring-Deadline-Ms: expected a "
                                       "whole number from 1 to 600000");
         }
         into.time_left = milliseconds{*value};
     }
-    const auto caller_attempt = header(headers, "Bulrushspring-Sending");
+    const auto caller_attempt =
+        http::header_value(headers, "Bulrushspring-Sending");
     if (!caller_attempt.empty()) {
         const auto value = parse_number(caller_attempt);
         if (!value || *value == 0 || *value > max_caller_attempt) {
-            return malformed(request, "Bulrushspring-Sending: expected a "
+            return malformed(message, "Bulrushspring-Sending: expected a "
                                       "whole number from 1 to 1000000");
         }
         into.caller_attempt = static_cast<std::uint32_t>(*value);
@@ -77,271 +76,299 @@
     return success();
 }
 
-result<void> validate(evhttp_request* request, const caller_request& parsed)
+result<void> validate(const http::request& message,
+                      const caller_request& parsed)
 {
     if (!is_name(parsed.id)) {
-        return malformed(request, "Bulrushspring-Request-Id: expected 1 to "
+        return malformed(message, "Bulrushspring-Request-Id: expected 1 to "
                                   "64 of A-Z a-z 0-9 . _ -");
     }
     if (!is_name(parsed.service)) {
-        return malformed(request, "service: expected 1 to 64 of A-Z a-z 0-9 "
+        return malformed(message, "service: expected 1 to 64 of A-Z a-z 0-9 "
                                   ". _ -");
     }
     if (!parsed.caller.empty() && !is_name(parsed.caller)) {
-        return malformed(request, "Bulrushspring-Caller: expected at most 64 "
+        return malformed(message, "Bulrushspring-Caller: expected at most 64 "
                                   "of A-Z a-z 0-9 . _ -");
     }
     if (parsed.key.size() > max_key_bytes) {
-        return malformed(request, "key: expected at most 256 bytes");
+        return malformed(message, "key: expected at most 256 bytes");
     }
     const auto control = [](unsigned char character) { return character < 32; };
     if (std::any_of(parsed.key.begin(), parsed.key.end(), control)) {
-        return malformed(request, "key: expected no control characters");
+        return malformed(message, "key: expected no control characters");
     }
     if (parsed.grant.size() > max_grant_bytes) {
-        return malformed(request, "Bulrushspring-Grant: expected at most 256 "
+        return malformed(message, "Bulrushspring-Grant: expected at most 256 "
                                   "bytes");
     }
     if (parsed.kind != manifest::service_kind::query && parsed.key.empty()) {
-        return malformed(request, "key: expected a value");
+        return malformed(message, "key: expected a value");
     }
     return success();
 }
 
-result<caller_request> parse_request(evhttp_request* request,
-                                     manifest::service_kind kind,
-                                     std::string_view service)
+// The body of a request, charged for as long as it is in use.
+struct charged_body {
+    std::string text;
+    memory::charge memory;
+};
+
+shared_text share_body(std::string text, memory::account* account)
 {
-    auto* headers = evhttp_request_get_input_headers(request);
+    const auto held = std::make_shared<charged_body>();
+    held->memory = memory::charge(account, text.capacity());
+    held->text = std::move(text);
+    return {held, &held->text};
+}
+
+// Reads everything but the body.
+result<caller_request> parse_header(const http::request& message,
+                                    manifest::service_kind kind,
+                                    std::string_view service)
+{
+    const auto value = [&](std::string_view name) {
+        return std::string(http::header_value(message.headers, name));
+    };
     caller_request parsed;
     parsed.kind = kind;
     parsed.service = service;
-    parsed.key = query_parameter(request, "key");
-    parsed.id = header(headers, "Bulrushspring-Request-Id");
-    parsed.grant = header(headers, "Bulrushspring-Grant");
-    parsed.caller = header(headers, "Bulrushspring-Caller");
-    TRY(read_numeric_headers(request, parsed));
-    TRY(validate(request, parsed));
-    parsed.body = std::make_shared<const std::string>(
-        content_of(evhttp_request_get_input_buffer(request)));
+    parsed.key = http::query_parameter(message.target, "key");
+    parsed.id = value("Bulrushspring-Request-Id");
+    parsed.grant = value("Bulrushspring-Grant");
+    parsed.caller = value("Bulrushspring-Caller");
+    TRY(read_numeric_headers(message, parsed));
+    TRY(validate(message, parsed));
     return parsed;
 }
 
-void add_header(evhttp_request* request, const char* name,
-                const std::string& value)
+const route_entry* find_route(const http::request& message)
 {
-    evhttp_add_header(evhttp_request_get_output_headers(request), name,
-                      value.c_str());
+    const auto path = http::path_of(message.target);
+    const auto found =
+        std::find_if(routes.begin(), routes.end(), [&](const auto& each) {
+            return path.starts_with(each.prefix);
+        });
+    return message.method == "POST" && found != routes.end() ? &*found
+                                                             : nullptr;
 }
 
-void add_retry_after(evhttp_request* request, duration retry_after)
+result<caller_request> parse_header(const http::request& message,
+                                    const route_entry& route)
 {
-    if (retry_after <= duration{0}) {
-        return;
-    }
-    const auto whole_seconds = std::chrono::ceil<seconds>(retry_after).count();
-    add_header(request, "Retry-After", std::to_string(whole_seconds));
+    return parse_header(
+        message, route.kind,
+        http::path_of(message.target).substr(route.prefix.size()));
 }
 
-void reply_malformed(evhttp_request* request, const error& cause)
+// A refusal of a request that no leaf was sent.
+caller_answer make_refusal(const char* reason, execution run)
 {
     caller_answer answer;
     answer.status = answer_status::refused;
-    answer.run = execution::not_run;
-    answer.reason = "malformed";
-    answer.body = cause.detail;
-    add_header(request, "Bulrushspring-Run", "not_run");
-    reply(request, http_status(answer), json_content_type,
-          client::answer_json(answer));
+    answer.run = run;
+    answer.reason = reason;
+    return answer;
 }
 
-} // namespace
-
-caller_server::caller_server(event_base* base, sink out, http_handle server)
-    : sink_(std::move(out)), server_(std::move(server)),
-      deferred_finish_(event_new(base, -1, 0, on_finish, this))
+caller_answer make_memory_refusal(execution run)
 {
-    evhttp_set_gencb(server_.get(), on_request, this);
+    constexpr seconds retry_after{1};
+    auto answer = make_refusal("memory", run);
+    answer.retry_after = retry_after;
+    return answer;
 }
 
-caller_server::~caller_server()
+http::fields headers_of(const caller_answer& answer)
 {
-    // Freeing the server closes its connections, which would otherwise invoke
-    // the close callback on this object.
-    for (const auto& [connection, token] : connections_) {
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    http::fields headers = {
+        {"Bulrushspring-Request-Id", answer.request_id},
+        {"Bulrushspring-Run", std::string(client::to_string(answer.run))}};
+    if (answer.retry_after > duration{0}) {
+        const auto whole =
+            std::chrono::ceil<seconds>(answer.retry_after).count();
+        headers.push_back({"Retry-After", std::to_string(whole)});
     }
-    for (auto* connection : sending_) {
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    return headers;
+}
+
+http::response make_response(int status, http::fields headers, std::string body)
+{
+    headers.push_back({"Content-Type", json_content_type});
+    return {static_cast<unsigned>(status), "", std::move(headers),
+            std::move(body)};
+}
+
+// Completes the server's own refusals: of invalid requests, and with 503 of
+// requests that were dropped before they had arrived completely.
+void complete_rejection(const http::request& arrived, http::response& response)
+{
+    constexpr unsigned unavailable = 503;
+    caller_answer answer = make_refusal("malformed", execution::not_run);
+    if (response.status == unavailable) {
+        const auto* route = find_route(arrived);
+        const auto parsed = route == nullptr
+                                ? result<caller_request>(malformed(arrived, ""))
+                                : parse_header(arrived, *route);
+        answer =
+            make_memory_refusal(parsed ? execution_if_not_sent(parsed.value())
+                                       : execution::unknown);
     }
+    response.headers = headers_of(answer);
+    response.headers.push_back({"Content-Type", json_content_type});
+    response.body = client::answer_json(answer);
 }
 
-result<std::unique_ptr<caller_server>>
-caller_server::listen(event_base* base, const endpoint& address, sink out)
+// Whether memory is used up by what can't be dropped.
+bool is_exhausted(const memory::account* account)
 {
-    TRY(server, listen_http(base, address, max_request_body_bytes));
-    return std::unique_ptr<caller_server>(
-        new caller_server(base, std::move(out), std::move(server)));
+    return account != nullptr && account->retry_above != 0 &&
+           account->reserved > account->limits.bytes;
 }
 
-void caller_server::on_request(evhttp_request* request, void* self)
+} // namespace
+
+result<std::unique_ptr<caller_server>>
+caller_server::listen(event_base* base, const endpoint& address, sink out)
 {
-    static_cast<caller_server*>(self)->route(request);
+    std::unique_ptr<caller_server> made(new caller_server(std::move(out)));
+    auto& owner = *made;
+    http::server_events events;
+    events.on_request = [&owner](caller_token token, http::request message) {
+        owner.route(token, std::move(message));
+    };
+    events.on_disconnected = [&owner](caller_token connection) {
+        owner.handle_disconnect(connection);
+    };
+    events.on_rejected = [&owner](unsigned status, const endpoint& peer) {
+        owner.sink_.reject(error{errc::malformed, "read caller's request",
+                                 to_string(peer),
+                                 "status " + std::to_string(status)});
+    };
+    events.complete_rejection = complete_rejection;
+    TRY(server, http::server::listen(base, address, std::move(events),
+                                     made->sink_.account));
+    made->server_ = std::move(server);
+    made->server_->set_limits(limits);
+    return made;
 }
 
-void caller_server::route(evhttp_request* request)
+void caller_server::route(caller_token connection, http::request message)
 {
-    const std::string_view path = path_of(request);
-    const auto method = evhttp_request_get_command(request);
-    if (path == "/v1/addresses" && method == EVHTTP_REQ_GET) {
-        auto data_centre = query_parameter(request, "data_centre");
+    const std::string_view path = http::path_of(message.target);
+    if (path == "/v1/addresses" && message.method == "GET") {
+        auto data_centre = http::query_parameter(message.target, "data_centre");
         data_centre.resize(std::min(data_centre.size(), max_name_bytes));
-        sink_.post(address_query_received{register_request(request),
+        sink_.post(address_query_received{add_pending(connection, true),
                                           std::move(data_centre)});
         return;
     }
-    for (const auto& candidate : routes) {
-        if (path.starts_with(candidate.prefix) && method == EVHTTP_REQ_POST) {
-            handle_request(request, candidate.kind,
-                           path.substr(candidate.prefix.size()));
-            return;
-        }
+    if (const auto* found = find_route(message)) {
+        auto parsed = parse_header(message, *found);
+        handle_request(connection, std::move(message.body), std::move(parsed));
+        return;
     }
-    caller_answer answer;
-    answer.status = answer_status::refused;
-    answer.run = execution::not_run;
-    answer.reason = "unknown_path";
-    reply(request, 404, json_content_type, client::answer_json(answer));
+    const auto refusal = make_refusal("unknown_path", execution::not_run);
+    server_->respond(connection,
+                     make_response(404, {}, client::answer_json(refusal)));
 }
 
-void caller_server::handle_request(evhttp_request* request,
-                                   manifest::service_kind kind,
-                                   std::string_view service)
+void caller_server::handle_request(caller_token connection, std::string body,
+                                   result<caller_request> parsed)
 {
-    auto parsed = parse_request(request, kind, service);
     if (!parsed) {
         sink_.reject(parsed.error());
-        reply_malformed(request, parsed.error());
+        auto refusal = make_refusal("malformed", execution::not_run);
+        refusal.body = parsed.error().detail;
+        answer({connection}, refusal);
+        return;
+    }
+    auto& request = parsed.value();
+    if (is_exhausted(sink_.account)) {
+        auto refusal = make_memory_refusal(execution_if_not_sent(request));
+        refusal.request_id = request.id;
+        answer({connection}, refusal);
         return;
     }
-    sink_.post(caller_request_received{register_request(request),
-                                       std::move(parsed).value()});
+    request.body = share_body(std::move(body), sink_.account);
+    const bool repeatable = request.kind != manifest::service_kind::request;
+    sink_.post(caller_request_received{add_pending(connection, repeatable),
+                                       std::move(request)});
 }
 
-caller_token caller_server::register_request(evhttp_request* request)
+void caller_server::handle_disconnect(caller_token connection)
 {
-    const auto token = static_cast<caller_token>(++last_token_);
-    pending_.emplace(token, request);
-    auto* connection = evhttp_request_get_connection(request);
-    connections_[connection] = token;
-    evhttp_connection_set_closecb(connection, on_close, this);
-    return token;
+    const auto found = by_connection_.find(connection);
+    if (found == by_connection_.end()) {
+        return;
+    }
+    const auto token = found->second;
+    take_pending(token);
+    sink_.post(caller_disconnected{token});
 }
 
-void caller_server::on_close(evhttp_connection* connection, void* self)
+caller_token caller_server::add_pending(caller_token connection,
+                                        bool repeatable)
 {
-    auto* server = static_cast<caller_server*>(self);
-    if (server->sending_.erase(connection) > 0) {
-        server->report_if_finished();
-        return;
-    }
-    const auto found = server->connections_.find(connection);
-    if (found == server->connections_.end()) {
-        return;
-    }
-    const caller_token token = found->second;
-    server->connections_.erase(found);
-    // evhttp leaves the request object to this server until it is answered;
-    // a reply to a closed connection only frees it.
-    server->sink_.post(caller_disconnected{token});
+    const caller_token token{++last_token_};
+    pending_.emplace(token, pending_request{connection, repeatable});
+    by_connection_[connection] = token;
+    return token;
 }
 
-evhttp_request* caller_server::release_request(caller_token token)
+std::optional<caller_server::pending_request>
+caller_server::take_pending(caller_token token)
 {
     const auto found = pending_.find(token);
     if (found == pending_.end()) {
-        return nullptr;
+        return std::nullopt;
     }
-    auto* request = found->second;
+    const auto taken = found->second;
     pending_.erase(found);
-    auto* connection = evhttp_request_get_connection(request);
-    if (connection != nullptr) {
-        connections_.erase(connection);
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    }
-    if (closing_ && connection != nullptr) {
-        add_header(request, "Connection", "close");
-    }
-    return request;
+    by_connection_.erase(taken.connection);
+    return taken;
 }
 
 void caller_server::carry_out(const answer_caller& effect)
 {
-    auto* request = release_request(effect.token);
-    if (request == nullptr) {
-        return;
+    if (const auto to = take_pending(effect.token)) {
+        answer(*to, effect.answer);
     }
-    add_header(request, "Bulrushspring-Request-Id", effect.answer.request_id);
-    add_header(request, "Bulrushspring-Run",
-               std::string(client::to_string(effect.answer.run)));
-    add_retry_after(request, effect.answer.retry_after);
-    send(request, http_status(effect.answer),
-         client::answer_json(effect.answer));
 }
 
 void caller_server::carry_out(const answer_addresses& effect)
 {
-    auto* request = release_request(effect.token);
-    if (request == nullptr) {
-        return;
-    }
-    const int status = effect.answer.entries.empty() ? 503 : 200;
-    send(request, status, to_json(effect.answer));
-}
-
-void caller_server::send(evhttp_request* request, int status,
-                         std::string_view body)
-{
-    auto* connection = evhttp_request_get_connection(request);
-    if (connection != nullptr) {
-        sending_.insert(connection);
-        evhttp_request_set_on_complete_cb(request, on_sent, this);
-        evhttp_connection_set_closecb(connection, on_close, this);
+    if (const auto to = take_pending(effect.token)) {
+        server_->respond(
+            to->connection,
+            make_response(effect.answer.entries.empty() ? 503 : 200, {},
+                          to_json(effect.answer)));
     }
-    reply(request, status, json_content_type, body);
 }
 
-void caller_server::on_sent(evhttp_request* request, void* self)
+void caller_server::answer(const pending_request& to,
+                           const caller_answer& answer)
 {
-    auto& server = *static_cast<caller_server*>(self);
-    auto* connection = evhttp_request_get_connection(request);
-    server.sending_.erase(connection);
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    server.report_if_finished();
+    server_->respond(to.connection,
+                     make_response(http_status(answer), headers_of(answer),
+                                   client::answer_json(answer)),
+                     to.repeatable);
 }
 
 void caller_server::finish(std::function<void()> finished)
 {
-    finished_ = std::move(finished);
-    closing_ = true;
-    // Requests that have arrived by now are read before the timeout is handled.
-    const timeval at_once{};
-    event_add(deferred_finish_.get(), &at_once);
+    server_->finish(std::move(finished));
 }
 
-void caller_server::on_finish(evutil_socket_t /*socket*/, short /*what*/,
-                              void* self)
+void caller_server::list_candidates(std::vector<memory::candidate>& all,
+                                    std::uint32_t holder, boot_time now) const
 {
-    auto& server = *static_cast<caller_server*>(self);
-    server.finishing_ = true;
-    server.report_if_finished();
+    server_->list_candidates(all, holder, now);
 }
 
-void caller_server::report_if_finished()
+void caller_server::drop(const memory::candidate& what, bool silently)
 {
-    if (finishing_ && finished_ && pending_.empty() && sending_.empty()) {
-        std::exchange(finished_, nullptr)();
-    }
+    silently ? server_->close(what) : server_->drop(what);
 }
 
 } // namespace bulrushspring::shell
--- a/libraries/shell/caller_server.hpp
+++ b/libraries/shell/caller_server.hpp
@@ -1,13 +1,12 @@
 #ifndef BULRUSHSPRING_LIBRARIES_SHELL_CALLER_SERVER_HPP
 #define BULRUSHSPRING_LIBRARIES_SHELL_CALLER_SERVER_HPP
 
+#include "libraries/http/server.hpp"
 #include "libraries/reducer/effect.hpp"
-#include "libraries/shell/http.hpp"
 #include "libraries/shell/sink.hpp"
 
 #include <functional>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace bulrushspring::shell
 {
@@ -22,49 +21,47 @@
     static result<std::unique_ptr<caller_server>>
     listen(event_base* base, const endpoint& address, sink out);
 
-    caller_server(const caller_server&) = delete;
-    caller_server& operator=(const caller_server&) = delete;
-    ~caller_server();
-
-    endpoint address() const { return bound_endpoint(server_.get()); }
+    endpoint address() const { return server_->address(); }
     void carry_out(const answer_caller& effect);
     void carry_out(const answer_addresses& effect);
 
     // Closes each connection after its next answer, so that callers move on
     // to another entry.
-    void close_after_answers() { closing_ = true; }
+    void close_after_answers() { server_->close_after_answers(); }
 
     // Calls `finished` once the requests that have arrived are answered and the
     // answers sent. Callers that don't read theirs delay it without a limit.
     void finish(std::function<void()> finished);
 
+    // Adds what can be dropped here, with `holder` as its holder.
+    void list_candidates(std::vector<memory::candidate>& all,
+                         std::uint32_t holder, boot_time now) const;
+    // Drops a candidate; `silently` without an answer.
+    void drop(const memory::candidate& what, bool silently);
+
 private:
-    caller_server(event_base* base, sink out, http_handle server);
-    static void on_request(evhttp_request* request, void* self);
-    static void on_close(evhttp_connection* connection, void* self);
-    static void on_sent(evhttp_request* request, void* self);
-    static void on_finish(evutil_socket_t socket, short what, void* self);
-    void send(evhttp_request* request, int status, std::string_view body);
-    void report_if_finished();
-    // Stores the request until it is answered and watches its connection.
-    caller_token register_request(evhttp_request* request);
-    // Removes a stored request; null if the token is unknown.
-    evhttp_request* release_request(caller_token token);
-    void route(evhttp_request* request);
-    void handle_request(evhttp_request* request, manifest::service_kind kind,
-                        std::string_view service);
+    explicit caller_server(sink out) : sink_(std::move(out)) {}
+    // A request that awaits its answer. The server's tokens stand for
+    // connections, those of the reducer for requests.
+    struct pending_request {
+        caller_token connection;
+        bool repeatable = true; // the answer can be had again
+    };
+
+    void route(caller_token connection, http::request message);
+    void handle_request(caller_token connection, std::string body,
+                        result<caller_request> parsed);
+    void handle_disconnect(caller_token connection);
+    caller_token add_pending(caller_token connection, bool repeatable);
+    // Removes a request; nothing if its caller has disconnected.
+    std::optional<pending_request> take_pending(caller_token token);
+    void answer(const pending_request& to, const caller_answer& answer);
 
     sink sink_;
-    http_handle server_;
+    std::unique_ptr<http::server> server_;
     std::uint64_t last_token_ = 0;
-    bool closing_ = false;
-    std::unordered_map<caller_token, evhttp_request*> pending_;
-    // Connections with an answer that is not completely sent.
-    std::unordered_set<evhttp_connection*> sending_;
-    event_handle deferred_finish_;
-    bool finishing_ = false;
-    std::function<void()> finished_;
-    std::unordered_map<evhttp_connection*, caller_token> connections_;
+    std::unordered_map<caller_token, pending_request> pending_;
+    std::unordered_map<caller_token, caller_token> by_connection_;
 };
 
 } // namespace bulrushspring::shell
--- a/libraries/shell/operator_server.cpp
+++ b/libraries/shell/operator_server.cpp
@@ -5,38 +5,62 @@
 namespace
 {
 
-constexpr std::size_t max_body_bytes = 1024;
+constexpr http::server_limits limits{{8192, 1024}, seconds{10}, seconds{120}};
 
-} // namespace
-
-operator_server::operator_server(operator_pages pages, http_handle server)
-    : pages_(std::move(pages)), server_(std::move(server))
+http::response make_response(unsigned status, const char* type,
+                             std::string body)
 {
-    evhttp_set_gencb(server_.get(), on_request, this);
+    return {status, "", {{"Content-Type", type}}, std::move(body)};
 }
 
+} // namespace
+
 result<std::unique_ptr<operator_server>>
 operator_server::listen(event_base* base, const endpoint& address,
-                        operator_pages pages)
+                        operator_pages pages, memory::account* account)
 {
-    TRY(server, listen_http(base, address, max_body_bytes));
-    return std::unique_ptr<operator_server>(
-        new operator_server(std::move(pages), std::move(server)));
+    std::unique_ptr<operator_server> made(
+        new operator_server(std::move(pages)));
+    auto& owner = *made;
+    http::server_events events;
+    events.on_request = [&owner](caller_token token,
+                                 const http::request& message) {
+        owner.server_->respond(token, owner.page_for(message));
+    };
+    events.on_disconnected = [](caller_token) {};
+    events.on_rejected = [](unsigned, const endpoint&) {};
+    TRY(server,
+        http::server::listen(base, address, std::move(events), account));
+    made->server_ = std::move(server);
+    made->server_->set_limits(limits);
+    return made;
 }
 
-void operator_server::on_request(evhttp_request* request, void* self)
+http::response operator_server::page_for(const http::request& message) const
 {
-    const auto& pages = static_cast<operator_server*>(self)->pages_;
-    const auto path = path_of(request);
-    if (evhttp_request_get_command(request) != EVHTTP_REQ_GET) {
-        reply(request, 405, "text/plain", "only GET\n");
-    } else if (path == "/v1/status") {
-        reply(request, 200, "application/json", pages.status());
-    } else if (path == "/metrics") {
-        reply(request, 200, "text/plain; version=0.0.4", pages.metrics());
-    } else {
-        reply(request, 404, "text/plain", "/v1/status or /metrics\n");
+    const auto path = http::path_of(message.target);
+    if (message.method != "GET") {
+        return make_response(405, "text/plain", "only GET\n");
+    }
+    if (path == "/v1/status") {
+        return make_response(200, "application/json", pages_.status());
+    }
+    if (path == "/metrics") {
+        return make_response(200, "text/plain; version=0.0.4",
+                             pages_.metrics());
     }
+    return make_response(404, "text/plain", "/v1/status or /metrics\n");
+}
+
+void operator_server::list_candidates(std::vector<memory::candidate>& all,
+                                      std::uint32_t holder, boot_time now) const
+{
+    server_->list_candidates(all, holder, now);
+}
+
+void operator_server::drop(const memory::candidate& what, bool silently)
+{
+    silently ? server_->close(what) : server_->drop(what);
 }
 
 } // namespace bulrushspring::shell
--- a/libraries/shell/operator_server.hpp
+++ b/libraries/shell/operator_server.hpp
@@ -1,7 +1,7 @@
 #ifndef BULRUSHSPRING_LIBRARIES_SHELL_OPERATOR_SERVER_HPP
 #define BULRUSHSPRING_LIBRARIES_SHELL_OPERATOR_SERVER_HPP
 
-#include "libraries/shell/http.hpp"
+#include "libraries/http/server.hpp"
 
 #include <functional>
 #include <memory>
@@ -19,17 +19,23 @@
 class operator_server
 {
 public:
+    // The account is charged for what the server holds, and must outlive it.
     static result<std::unique_ptr<operator_server>>
-    listen(event_base* base, const endpoint& address, operator_pages pages);
+    listen(event_base* base, const endpoint& address, operator_pages pages,
+           memory::account* account);
 
-    endpoint address() const { return bound_endpoint(server_.get()); }
+    endpoint address() const { return server_->address(); }
+
+    void list_candidates(std::vector<memory::candidate>& all,
+                         std::uint32_t holder, boot_time now) const;
+    void drop(const memory::candidate& what, bool silently);
 
 private:
-    operator_server(operator_pages pages, http_handle server);
-    static void on_request(evhttp_request* request, void* self);
+    explicit operator_server(operator_pages pages) : pages_(std::move(pages)) {}
+    http::response page_for(const http::request& message) const;
 
     operator_pages pages_;
-    http_handle server_;
+    std::unique_ptr<http::server> server_;
 };
 
 } // namespace bulrushspring::shell
--- a/libraries/shell/runner.cpp
+++ b/libraries/shell/runner.cpp
@@ -1,10 +1,13 @@
 #include "libraries/shell/runner.hpp"
 
 #include "libraries/client/event_pointers.hpp"
+#include "libraries/memory/allocator.hpp"
+#include "libraries/memory/events.hpp"
 #include "libraries/node/events.hpp"
 #include "libraries/shell/status_render.hpp"
 
 #include <glog/logging.h>
+#include <sys/resource.h>
 
 namespace bulrushspring::shell
 {
@@ -24,6 +27,21 @@
         std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
+// Who holds a candidate for dropping.
+enum class holder : std::uint32_t { callers, operators, peers };
+
+std::uint32_t number_of(holder which)
+{
+    return static_cast<std::uint32_t>(which);
+}
+
+std::uint64_t descriptor_limit()
+{
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    return limit.rlim_cur;
+}
+
 void write(const log_record& record)
 {
     switch (record.definition->level) {
@@ -58,11 +76,13 @@
 sink runner::make_sink()
 {
     return sink{[this](event what) { post(std::move(what)); },
-                [this](const error& cause) { reject(cause); }, &metrics_};
+                [this](const error& cause) { reject(cause); }, &metrics_,
+                &account_};
 }
 
 result<void> runner::open(const settings::daemon_settings& settings)
 {
+    set_up_memory(settings.memory_bytes);
     TRY(callers,
         caller_server::listen(base_.get(), settings.callers, make_sink()));
     callers_ = std::move(callers);
@@ -79,9 +99,12 @@
         post(tick{});
         return status_json(*node_, metrics_, clock_.now());
     };
-    pages.metrics = [this] { return metrics::prometheus_text(metrics_); };
+    pages.metrics = [this] {
+        return metrics::prometheus_text(metrics_) +
+               memory::prometheus_text(account_);
+    };
     TRY(operators, operator_server::listen(base_.get(), settings.operators,
-                                           std::move(pages)));
+                                           std::move(pages), &account_));
     operators_ = std::move(operators);
     platform_ = std::make_unique<platform_client>(
         base_.get(), settings.platform, make_sink());
@@ -172,9 +195,78 @@
     event_add(timer_.get(), &value);
 }
 
+void runner::set_up_memory(std::uint64_t process_bytes)
+{
+    account_.limits = memory::make_limits(process_bytes, descriptor_limit());
+    account_.reclaim = [this] { reclaim_memory(); };
+    memory::configure_allocator();
+    const auto& limits = account_.limits;
+    write(make_record(memory::memory_limits,
+                      field("process_bytes", process_bytes),
+                      field("account_bytes", limits.bytes),
+                      field("connections", limits.connections),
+                      field("response_bytes", limits.response_bytes)));
+}
+
+std::vector<memory::candidate> runner::list_candidates() const
+{
+    const auto now = clock_.now();
+    std::vector<memory::candidate> all;
+    callers_->list_candidates(all, number_of(holder::callers), now);
+    operators_->list_candidates(all, number_of(holder::operators), now);
+    streams_->list_candidates(all, number_of(holder::peers), now);
+    return all;
+}
+
+void runner::drop(const memory::candidate& what, bool silently)
+{
+    switch (static_cast<holder>(what.holder)) {
+    case holder::callers:
+        callers_->drop(what, silently);
+        return;
+    case holder::operators:
+        operators_->drop(what, silently);
+        return;
+    case holder::peers:
+        streams_->drop(what);
+        return;
+    }
+}
+
+void runner::reclaim_memory()
+{
+    if (processing_) {
+        return; // the next check is at the end of the callback
+    }
+    const auto reserved = account_.reserved;
+    const auto connections = account_.connections;
+    const auto counts = memory::drop_excess(
+        account_, [this] { return list_candidates(); },
+        [this](const auto& each, bool silently) { drop(each, silently); });
+    write(make_record(memory::memory_dropped, field("reserved", reserved),
+                      field("connections", connections),
+                      field("partial", counts[0]), field("unsent", counts[1]),
+                      field("responses", counts[2]), field("idle", counts[3]),
+                      field("left", account_.reserved)));
+    memory::end_reclaim(account_);
+}
+
+void runner::review_memory()
+{
+    account_.retry_above = 0;
+    memory::reclaim_if_over(&account_);
+    if (memory::should_return_memory(account_)) {
+        memory::return_free_memory();
+        write(make_record(memory::memory_returned,
+                          field("reserved", account_.reserved)));
+    }
+}
+
 void runner::on_timer(evutil_socket_t /*socket*/, short /*what*/, void* self)
 {
-    static_cast<runner*>(self)->post(tick{});
+    auto& daemon = *static_cast<runner*>(self);
+    daemon.post(tick{});
+    daemon.review_memory();
 }
 
 void runner::carry_out(effect& what)
--- a/libraries/shell/runner.hpp
+++ b/libraries/shell/runner.hpp
@@ -45,11 +45,18 @@
     void arm_timer();
     void carry_out(effect& what);
     void carry_out_other(const effect& what);
+    void set_up_memory(std::uint64_t process_bytes);
+    std::vector<memory::candidate> list_candidates() const;
+    void drop(const memory::candidate& what, bool silently);
+    // Drops what exceeds the memory account.
+    void reclaim_memory();
+    void review_memory();
     static void on_timer(evutil_socket_t socket, short what, void* self);
 
     const clock& clock_;
     base_handle base_;
     metrics::registry metrics_;
+    memory::account account_;
     std::unique_ptr<node::state> node_;
     std::unique_ptr<caller_server> callers_;
     std::unique_ptr<operator_server> operators_;
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -129,7 +129,8 @@
 
 BOOST_AUTO_TEST_CASE(crowds_do_not_exhaust_the_memory_of_bulrushspringd)
 {
-    system_fleet fleet;
+    system_fleet fleet("127.",
+                       "memory_mb = " + std::to_string(daemon_mb) + "\n");
     fleet.start_daemons();
     const auto head = [](std::size_t number) {
         return "POST /v1/request/order?key=k HTTP/1.1\r\nHost: h\r\n"
--- a/tests/support/system_fleet.hpp
+++ b/tests/support/system_fleet.hpp
@@ -26,8 +26,10 @@
     static constexpr int replicas = 3;
 
     // Publishes version 1 and starts the platform and the leafs; `prefix` is
-    // the first octet of the loopback address, with its dot.
-    explicit system_fleet(std::string prefix = "127.")
+    // the first octet of the loopback address, with its dot, and `limits` are
+    // further lines of that section of the daemons' settings.
+    explicit system_fleet(std::string prefix = "127.", std::string limits = "")
+        : limits_(std::move(limits))
     {
         address_ = std::move(prefix) +
                    std::to_string(getpid() / 250 % 100 + 100) + "." +
@@ -243,7 +245,7 @@
                "\n[platform]\naddress = " + to_string(platform_) +
                "\n[seeds]\na = " + to_string(peer_address(1)) +
                "\nb = " + to_string(peer_address(2)) +
-               "\n[limits]\naddress_hold_ms = 300\n";
+               "\n[limits]\naddress_hold_ms = 300\n" + limits_;
     }
 
     void make_sections()
@@ -364,6 +366,7 @@
     }
 
     mutable int last_call_number_ = 0;
+    std::string limits_;
     temporary_folder folder_;
     std::string address_;
     std::map<std::string, std::string> sections_;
