--- a/libraries/wire/frame.cpp
+++ b/libraries/wire/frame.cpp
@@ -300,13 +300,14 @@
 
 std::string compress_reply(std::string_view frame)
 {
-    constexpr int fastest_level = 1;
+    constexpr int compression_level = 1;
     std::string content(sizeof compressed_mark +
                             ZSTD_compressBound(frame.size()),
                         compressed_mark);
-    const auto size = ZSTD_compress(content.data() + sizeof compressed_mark,
-                                    content.size() - sizeof compressed_mark,
-                                    frame.data(), frame.size(), fastest_level);
+    const auto size =
+        ZSTD_compress(content.data() + sizeof compressed_mark,
+                      content.size() - sizeof compressed_mark, frame.data(),
+                      frame.size(), compression_level);
     if (ZSTD_isError(size) != 0 || size >= frame.size()) {
         return std::string(frame); // nothing is gained
     }
