shell, memory: Review the memory of bulrushspringd once a second; share records

On reading the change again: bulrushspringd looked at its memory at each turn of its timer, and while what can't be dropped exceeded the account, each look searched for candidates and wrote a log line. It looks once a second now, as bulrushspring-platformd does. The log records of limits and drops stood in both daemons and are in libraries/memory/log_records. A comment of caller_server described the server that it replaced.

--- a/libraries/gateway_shell/memory_reclaim.cpp
+++ b/libraries/gateway_shell/memory_reclaim.cpp
@@ -2,6 +2,7 @@
 #include "libraries/gateway_shell/runner.hpp"
 #include "libraries/memory/allocator.hpp"
 #include "libraries/memory/events.hpp"
+#include "libraries/memory/log_records.hpp"
 
 #include <sys/resource.h>
 
@@ -59,11 +60,7 @@
     if (limits.bytes != 0) {
         memory::configure_allocator();
     }
-    log_.write(make_record(memory::memory_limits,
-                           field("process_bytes", settings.memory_bytes),
-                           field("account_bytes", limits.bytes),
-                           field("connections", limits.connections),
-                           field("response_bytes", limits.response_bytes)),
+    log_.write(memory::describe_limits(settings.memory_bytes, limits),
                clock_.now());
 }
 
@@ -125,13 +122,8 @@
         post(gateway::memory_exceeded{std::exchange(dropped_requests_, {}),
                                       state_->memory_exhausted});
     }
-    log_.write(
-        make_record(memory::memory_dropped, field("reserved", reserved),
-                    field("connections", connections),
-                    field("partial", counts[0]), field("unsent", counts[1]),
-                    field("responses", counts[2]), field("idle", counts[3]),
-                    field("left", account_.reserved)),
-        clock_.now());
+    log_.write(memory::describe_drops(reserved, connections, counts, account_),
+               clock_.now());
     set_exhausted(memory::end_reclaim(account_));
 }
 
--- a/libraries/shell/caller_server.hpp
+++ b/libraries/shell/caller_server.hpp
@@ -30,7 +30,8 @@
     void close_after_answers() { server_->close_after_answers(); }
 
     // Calls `finished` once the requests that have arrived are answered and the
-    // answers sent. Callers that don't read theirs delay it without a limit.
+    // answers sent. A caller that doesn't read its answer delays it until the
+    // idle timeout.
     void finish(std::function<void()> finished);
 
     // Adds what can be dropped here, with `holder` as its holder.
--- a/libraries/shell/runner.cpp
+++ b/libraries/shell/runner.cpp
@@ -3,6 +3,7 @@
 #include "libraries/client/event_pointers.hpp"
 #include "libraries/memory/allocator.hpp"
 #include "libraries/memory/events.hpp"
+#include "libraries/memory/log_records.hpp"
 #include "libraries/node/events.hpp"
 #include "libraries/shell/status_render.hpp"
 
@@ -27,6 +28,10 @@
         std::chrono::duration_cast<std::chrono::microseconds>(now).count());
 }
 
+// Returning memory to the system takes some milliseconds, and each search for
+// what to drop writes a log line.
+constexpr seconds memory_review_interval{1};
+
 // Who holds a candidate for dropping.
 enum class holder : std::uint32_t { callers, operators, peers };
 
@@ -200,12 +205,7 @@
     account_.limits = memory::make_limits(process_bytes, descriptor_limit());
     account_.reclaim = [this] { reclaim_memory(); };
     memory::configure_allocator();
-    const auto& limits = account_.limits;
-    write(make_record(memory::memory_limits,
-                      field("process_bytes", process_bytes),
-                      field("account_bytes", limits.bytes),
-                      field("connections", limits.connections),
-                      field("response_bytes", limits.response_bytes)));
+    write(memory::describe_limits(process_bytes, account_.limits));
 }
 
 std::vector<memory::candidate> runner::list_candidates() const
@@ -243,16 +243,17 @@
     const auto counts = memory::drop_excess(
         account_, [this] { return list_candidates(); },
         [this](const auto& each, bool silently) { drop(each, silently); });
-    write(make_record(memory::memory_dropped, field("reserved", reserved),
-                      field("connections", connections),
-                      field("partial", counts[0]), field("unsent", counts[1]),
-                      field("responses", counts[2]), field("idle", counts[3]),
-                      field("left", account_.reserved)));
+    write(memory::describe_drops(reserved, connections, counts, account_));
     memory::end_reclaim(account_);
 }
 
 void runner::review_memory()
 {
+    const auto now = clock_.now();
+    if (now - memory_reviewed_at_ < memory_review_interval) {
+        return;
+    }
+    memory_reviewed_at_ = now;
     account_.retry_above = 0;
     memory::reclaim_if_over(&account_);
     if (memory::should_return_memory(account_)) {
--- a/libraries/shell/runner.hpp
+++ b/libraries/shell/runner.hpp
@@ -57,6 +57,7 @@
     base_handle base_;
     metrics::registry metrics_;
     memory::account account_;
+    boot_time memory_reviewed_at_{};
     std::unique_ptr<node::state> node_;
     std::unique_ptr<caller_server> callers_;
     std::unique_ptr<operator_server> operators_;
