shell: Bound what peers send beyond a request

Callers saw: a process close to its memory limit, or ended, while another daemon's port was sent bytes without end.

Cause: after a request between daemons had arrived, its stream was still read into a buffer that nobody looked at, until the exchange timed out after 5 s. And 64 incomplete requests could hold 4 MiB each; the memory account counts their bytes, but what libevent's blocks take is half as much again.

Change: nothing is read after the request, and incomplete requests hold 4 MiB together. Requests of daemons that work are small and arrive at once.

Evidence: before, more_than_a_request_is_not_read failed: the daemon took all of the 16 MB offered, 1 MB allowed.

--- a/libraries/shell/peer_streams.cpp
+++ b/libraries/shell/peer_streams.cpp
@@ -12,6 +12,10 @@
 {
 
 constexpr std::size_t max_incoming_streams = 64;
+// Requests that have not arrived completely may hold this much together, which
+// is one of the largest size. They are small, and arrive at once, from daemons
+// that work.
+constexpr std::size_t max_partial_bytes = wire::max_frame_bytes;
 // The time allowed for a whole exchange.
 constexpr seconds max_exchange{5};
 constexpr int listen_backlog = 128;
@@ -201,6 +205,15 @@
     return total;
 }
 
+std::size_t peer_streams::partial_bytes() const
+{
+    std::size_t total = 0;
+    for (const auto& [id, each] : incoming_) {
+        total += evbuffer_get_length(bufferevent_get_input(each->buffer.get()));
+    }
+    return total;
+}
+
 void peer_streams::on_written(bufferevent* /*buffer*/, void* argument)
 {
     auto& done = *static_cast<stream*>(argument);
@@ -238,6 +251,13 @@
         return;
     }
     if (size.value() == 0 || arrived < size.value()) {
+        if (!from.outgoing && partial_bytes() > max_partial_bytes) {
+            const auto cause = stream_error(errc::overloaded,
+                                            "read peer's request", from.peer);
+            sink_.reject(cause);
+            fail(from, cause);
+            return;
+        }
         charge_memory(from);
         restart_timer(from);
         return; // the frame is incomplete
@@ -299,6 +319,8 @@
             return;
         }
         from.request_received = true;
+        // Nothing more is expected, and nothing bounds what is not parsed.
+        bufferevent_disable(from.buffer.get(), EV_READ);
         evbuffer_drain(bufferevent_get_input(from.buffer.get()), frame.size());
         charge_memory(from);
         sink_.post(peer_request_received{static_cast<peer_token>(from.id),
--- a/libraries/shell/peer_streams.hpp
+++ b/libraries/shell/peer_streams.hpp
@@ -64,6 +64,8 @@
     result<std::string> encode_reply(const reply_to_peer& effect);
     // Of all replies.
     std::size_t unsent_bytes() const;
+    // Of all requests that have not arrived completely.
+    std::size_t partial_bytes() const;
     void fail(stream& failed, const error& cause);
     void end(stream& ended);
 
--- a/tests/shell/peer_streams_test.cpp
+++ b/tests/shell/peer_streams_test.cpp
@@ -186,3 +186,44 @@
         return next.received.size() > reply_bytes;
     }));
 }
+
+// A peer that does not read its reply, and sends more than its request without
+// end, was read until the exchange timed out.
+BOOST_FIXTURE_TEST_CASE(more_than_a_request_is_not_read, streams_fixture)
+{
+    constexpr std::size_t reply_bytes = 3UL * 1024 * 1024;
+    constexpr std::size_t offered = 16UL * 1024 * 1024;
+    constexpr std::size_t kernel_buffers = 1024UL * 1024;
+    account.limits.bytes = 64UL * 1024 * 1024; // limits receive buffers
+    const auto address = free_address();
+    const auto streams = listen(address);
+    const auto request =
+        wire::encode(wire::peer_request(wire::record_changes_request{}));
+    // The kernel holds little for either side.
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    const int buffer_size = 4096;
+    for (const int option : {SO_RCVBUF, SO_SNDBUF}) {
+        setsockopt(descriptor, SOL_SOCKET, option, &buffer_size,
+                   sizeof buffer_size);
+    }
+    const auto to = shell::to_socket_address(address);
+    connect(descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    raw_socket peer(descriptor);
+    peer.send(request.value());
+    BOOST_REQUIRE(until([&] { return !posted.empty(); }));
+    streams->carry_out(
+        reply_to_peer{std::get<peer_request_received>(posted.front()).token,
+                      large_reply(reply_bytes)});
+    const std::string block(65536, 'p');
+    std::size_t sent = 0;
+    int idle = 0;
+    constexpr int max_idle = 50;
+    until([&] {
+        const auto taken = sent < offered ? peer.send(block) : 0;
+        sent += taken;
+        idle = taken > 0 ? 0 : idle + 1;
+        return idle > max_idle;
+    });
+    BOOST_TEST(sent < kernel_buffers);
+    BOOST_TEST(posted.size() == 1U);
+}
