--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -212,3 +212,47 @@
     BOOST_TEST(learned.records.back().published.key == "op/config");
     BOOST_TEST(learned.records.back().published.revision > 0U);
 }
+
+// The pages of a listing never ended, and the daemon kept them all.
+BOOST_AUTO_TEST_CASE(a_listing_whose_pages_do_not_end_fails)
+{
+    constexpr std::uint64_t account_bytes = 4UL * 1024 * 1024;
+    constexpr std::size_t value_bytes = 100'000;
+    for (const bool advances : {true, false}) {
+        const auto base = client::make_event_base();
+        const auto address = http_test::raw_listener().address();
+        memory::account account;
+        account.limits.bytes = account_bytes;
+        std::uint64_t most_reserved = 0;
+        std::size_t pages = 0;
+        std::unique_ptr<http::server> store;
+        http::server_events events;
+        events.on_request = [&](caller_token token, const http::request&) {
+            most_reserved = std::max(most_reserved, account.reserved);
+            const auto number = std::to_string(100'000 + ++pages);
+            store->respond(
+                token, {200,
+                        "",
+                        {},
+                        R"({"items":[{"key":"servers/)" +
+                            (advances ? number : std::string("a")) +
+                            R"(","value":")" + std::string(value_bytes, 'A') +
+                            R"(","revision":1,"created":1,"lease":0}],)"
+                            R"("morePages":true,"storeRevision":1})"});
+        };
+        events.on_disconnected = [](caller_token) {};
+        events.on_rejected = [](unsigned, const endpoint&) {};
+        store = http::server::listen(base.get(), address, events).value();
+        std::optional<topology::store_failed> failed;
+        const auto call = platform::make_store(address, &account)(
+            base.get(), [&](gateway::any_event what) {
+                failed = std::get<topology::store_failed>(what);
+            });
+        call(topology::read_all{false});
+        BOOST_REQUIRE(
+            http_test::run_until(base.get(), [&] { return !!failed; }));
+        BOOST_TEST(pages <= (advances ? account_bytes / value_bytes : 2U));
+        BOOST_TEST(most_reserved < account_bytes);
+        BOOST_TEST(account.reserved < value_bytes);
+    }
+}
