targets, gateway: Count answers that are no answer, and the leaf's failure

Cause: a leaf that sends bytes that are no answer looked like one whose connection was lost: there was no counter, and its error rate stayed as it was, so that it was chosen like its replicas as long as it had connections.

Change: E4013 names the leaf and what was expected and found, both daemons count leaf_answers_unusable_total, and bulrushspringd raises the leaf's error rate. A connection that was dropped for want of memory here says nothing about the leaf and starts no backoff.

--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -12,6 +12,7 @@
 #include "libraries/gateway/leaf_performance.hpp"
 #include "libraries/gateway/query_admission.hpp"
 #include "libraries/gateway/queued_requests.hpp"
+#include "libraries/reducer/unusable_answer.hpp"
 
 #include <algorithm>
 
@@ -444,6 +445,9 @@
         return;
     }
     const auto connection = found->second;
+    if (is_unusable_answer(event.cause)) {
+        step.context.count(metrics::counter::leaf_answers_unusable);
+    }
     remove_connection(step.pool, event.connection, !connection.answered,
                       step.context);
     if (!connection.open) {
--- a/libraries/targets/answers.cpp
+++ b/libraries/targets/answers.cpp
@@ -157,6 +157,12 @@
 
 } // namespace
 
+void record_unusable_answer(leaf_state& leaf, boot_time now)
+{
+    update_average(leaf.error_rate, 1, leaf_average_weight);
+    leaf.answered_at = now;
+}
+
 void record_answer(state& self, leaf_state& leaf, const leaf_answer& answer,
                    duration latency, context& context)
 {
--- a/libraries/targets/answers.hpp
+++ b/libraries/targets/answers.hpp
@@ -13,6 +13,9 @@
 void record_answer(state& self, leaf_state& leaf, const leaf_answer& answer,
                    duration latency, context& context);
 
+// Raises the leaf's error rate: it has sent bytes that are no answer.
+void record_unusable_answer(leaf_state& leaf, boot_time now);
+
 } // namespace bulrushspring::targets
 
 #endif
--- a/libraries/targets/events.hpp
+++ b/libraries/targets/events.hpp
@@ -56,12 +56,18 @@
 inline constexpr event_definition pool_gone = {
     4012, severity::info, "pool_gone", "pool",
     "The manifest no longer contains a pool: its connections are closed."};
+inline constexpr event_definition answer_unusable = {
+    4013, severity::warning, "answer_unusable", "leaf connection cause",
+    "A leaf sent bytes that are no answer, or more than an answer may hold; "
+    "`cause` has what was expected and found. The connection was closed. "
+    "Whether the leaf ran the request on it is unknown."};
 
 inline constexpr std::array all_events = {
     &pool_placed,      &shards_without_place, &connection_ready,
     &connection_lost,  &connection_silent,    &leaf_unreachable,
     &leaf_now_leaving, &leaf_returned,        &answer_without_attempt,
     &hedging_off,      &hedging_on,           &pool_gone,
+    &answer_unusable,
 };
 
 } // namespace bulrushspring::targets
--- a/libraries/targets/targets.cpp
+++ b/libraries/targets/targets.cpp
@@ -1,5 +1,6 @@
 #include "libraries/targets/targets.hpp"
 
+#include "libraries/reducer/unusable_answer.hpp"
 #include "libraries/targets/adoption.hpp"
 #include "libraries/targets/answers.hpp"
 #include "libraries/targets/connections.hpp"
@@ -54,14 +55,27 @@
     return self.settings.closed_hold;
 }
 
-void log_connection_lost(const state& self, const connection& ended,
-                         const error& cause, context& context)
+void report_lost_connection(state& self, const connection& ended,
+                            const error& cause, context& context)
 {
+    auto& leaf = leaf_at(self, ended.leaf);
+    const bool unusable = is_unusable_answer(cause);
+    if (unusable) {
+        context.emit(add_to_counter{metrics::counter::leaf_answers_unusable});
+        record_unusable_answer(leaf, context.now);
+    }
     context.emit(write_log{make_record(
-        connection_lost, field("leaf", leaf_at(self, ended.leaf).name),
+        unusable ? answer_unusable : connection_lost, field("leaf", leaf.name),
         field("connection", raw(ended.id)), field("cause", to_string(cause)))});
 }
 
+// Whether the connection ended for want of memory here, which says nothing
+// about the leaf.
+bool was_dropped(const error& cause)
+{
+    return cause.code == errc::overloaded;
+}
+
 } // namespace
 
 state make_state(std::string self, options settings, std::uint64_t seed,
@@ -158,8 +172,8 @@
         remove_silent(self, ended.id, context);
         return;
     }
-    log_connection_lost(self, ended, event.cause, context);
-    if (ended.phase != connection_phase::idle) {
+    report_lost_connection(self, ended, event.cause, context);
+    if (ended.phase != connection_phase::idle && !was_dropped(event.cause)) {
         back_off(self, ended.leaf, event.cause, context);
     }
     remove_connection(self, ended.id, hold_time(self, event.cause), context);
@@ -219,8 +233,10 @@
         remove_silent(self, ended.id, context);
         return;
     }
-    log_connection_lost(self, ended, event.cause, context);
-    back_off(self, ended.leaf, event.cause, context);
+    report_lost_connection(self, ended, event.cause, context);
+    if (!was_dropped(event.cause)) {
+        back_off(self, ended.leaf, event.cause, context);
+    }
     remove_connection(self, ended.id, hold_time(self, event.cause), context);
 }
 
