shell: Bound what leafs and the platform send to bulrushspringd

Callers saw: a daemon that ran out of memory while a faulty leaf sent bytes that were no answer, and with it the end of their requests.

Cause: evhttp's client, whose limits on header and body leave out what comes before a header or lies between chunks; nothing was charged to the memory account. A late answer was taken for the next one, and closed the connection.

Change: leafs and the configuration service are called through http::client, as in bulrushspring-platformd. What they send is bounded and charged, answers to another attempt are dropped by its id and counted, and an attempt ends at the first bound. A request that is sent just as the leaf closes its connection is now reported as not sent.

Evidence: tests/endless starts the real daemons.

--- a/libraries/http/client.cpp
+++ b/libraries/http/client.cpp
@@ -243,6 +243,9 @@
                      " interim or late answers");
             return;
         }
+        if (answer.status >= 200 && events_.on_late_answer) {
+            events_.on_late_answer(from.id);
+        }
         from.parser.emplace(limits_, from.head_request);
     }
     const bool clean = evbuffer_get_length(input) == 0;
--- a/libraries/http/client.hpp
+++ b/libraries/http/client.hpp
@@ -25,6 +25,8 @@
     // The server does not read as fast as requests are sent (`unread`), or has
     // read all. Not set: not reported.
     std::function<void(connection_id, bool unread)> on_unread = nullptr;
+    // A late answer to an earlier request was dropped. Not set: not reported.
+    std::function<void(connection_id)> on_late_answer = nullptr;
 };
 
 // HTTP/1.1 connections to any number of servers, each with at most one request
--- a/libraries/reducer/leaf_message.hpp
+++ b/libraries/reducer/leaf_message.hpp
@@ -3,6 +3,7 @@
 
 #include "base/time.hpp"
 #include "libraries/manifest/manifest.hpp"
+#include "libraries/memory/account.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -52,6 +53,7 @@
     bool draining = false;
     std::uint32_t queued = 0; // requests queued at the leaf
     std::string body;
+    memory::charge held;      // for the body
     bool same_attempt = true; // whether the echoed attempt matches
 };
 
--- a/libraries/shell/handles.cpp
+++ b/libraries/shell/handles.cpp
@@ -50,10 +50,4 @@
     return {reinterpret_cast<const char*>(bytes), size};
 }
 
-std::string_view header(evkeyvalq* headers, const char* name)
-{
-    const char* value = evhttp_find_header(headers, name);
-    return value == nullptr ? std::string_view{} : std::string_view{value};
-}
-
 } // namespace bulrushspring::shell
--- a/libraries/shell/handles.hpp
+++ b/libraries/shell/handles.hpp
@@ -8,9 +8,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 #include <memory>
 #include <netinet/in.h>
@@ -22,8 +19,6 @@
 // Owning pointers to libevent objects.
 using base_handle = client::event_base_pointer;
 using event_handle = client::event_pointer;
-using http_handle = client::evhttp_pointer;
-using http_connection_handle = client::evhttp_connection_pointer;
 using stream_handle =
     std::unique_ptr<bufferevent, client::event_deleter<bufferevent_free>>;
 using listener_handle =
@@ -42,9 +37,6 @@
 // A contiguous view of a buffer's content, valid until the buffer changes.
 std::string_view content_of(evbuffer* buffer);
 
-// The value of a header; empty if it is missing.
-std::string_view header(evkeyvalq* headers, const char* name);
-
 } // namespace bulrushspring::shell
 
 #endif
--- a/libraries/shell/http.cpp
+++ b/libraries/shell/http.cpp
@@ -1,5 +1,6 @@
 #include "libraries/shell/http.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace bulrushspring::shell
@@ -16,17 +17,14 @@
     return value;
 }
 
-http_connection_handle make_http_connection(event_base* base,
-                                            const endpoint& address,
-                                            std::size_t max_body_bytes)
+http::size_limits response_limits(const memory::account* account)
 {
-    http_connection_handle connection(evhttp_connection_base_new(
-        base, nullptr, address_text(address).c_str(), address.port));
-    evhttp_connection_set_retries(connection.get(), 0);
-    evhttp_connection_set_max_headers_size(connection.get(), max_header_bytes);
-    evhttp_connection_set_max_body_size(
-        connection.get(), static_cast<ev_ssize_t>(max_body_bytes));
-    return connection;
+    http::size_limits limits{max_header_bytes, max_response_body_bytes};
+    if (account != nullptr && account->limits.response_bytes != 0) {
+        limits.body_bytes =
+            std::min(limits.body_bytes, account->limits.response_bytes);
+    }
+    return limits;
 }
 
 } // namespace bulrushspring::shell
--- a/libraries/shell/leaf_client.hpp
+++ b/libraries/shell/leaf_client.hpp
@@ -1,8 +1,8 @@
 #ifndef BULRUSHSPRING_LIBRARIES_SHELL_LEAF_CLIENT_HPP
 #define BULRUSHSPRING_LIBRARIES_SHELL_LEAF_CLIENT_HPP
 
+#include "libraries/http/client.hpp"
 #include "libraries/reducer/effect.hpp"
-#include "libraries/shell/http.hpp"
 #include "libraries/shell/sink.hpp"
 
 #include <optional>
@@ -14,7 +14,8 @@
 // HTTP connections to leafs. Each carries one request, probe or cancellation at
 // a time, as the reducer directs. The end of a connection, whatever its cause,
 // is posted once as connection_closed, after leaf_failed for the attempt that
-// was in progress on it.
+// was in progress on it. What leafs send is bounded, and charged to the sink's
+// account.
 class leaf_client
 {
 public:
@@ -31,51 +32,60 @@
     void carry_out(const send_to_leaf& effect);
     void carry_out(const cancel_at_leaf& effect);
 
+    // Adds the unfinished answers that can be dropped, with `holder` as their
+    // holder.
+    void list_candidates(std::vector<memory::candidate>& all,
+                         std::uint32_t holder) const
+    {
+        http_.list_candidates(all, holder);
+    }
+    // Fails the connection of a candidate.
+    void drop(const memory::candidate& what) { http_.drop(what); }
+    // Stops or resumes reading large answers to non-idempotent requests, which
+    // may not be dropped.
+    void pause_unrepeatable(bool paused) { http_.pause_unrepeatable(paused); }
+
 private:
+    enum class exchange_kind : std::uint8_t { none, probe, work, cancellation };
+
     struct connection {
         leaf_client* owner = nullptr;
         connection_id id{};
         std::string leaf;
-        http_connection_handle http;
-        attempt_id attempt{}; // 0 if none is in progress
-        bool opened = false;
-        bool probing = false;
-        bool cancelling = false;
+        exchange_kind exchange = exchange_kind::none; // in progress
+        attempt_id attempt{};                         // of the work in progress
+        bool opened = false;  // the first probe was answered
+        bool reusable = true; // the leaf has not closed it with its answer
+        // Of a probe or a cancellation; the reducer limits work.
+        event_handle timeout;
         // Effects that wait for a cancellation on the connection to finish.
         std::optional<send_to_leaf> deferred_work;
         std::optional<probe_connection> deferred_probe;
-        evhttp_request_error last_error = EVREQ_HTTP_EOF;
     };
 
-    static void on_probe_done(evhttp_request* request, void* argument);
-    static void on_work_done(evhttp_request* request, void* argument);
-    static void on_cancel_done(evhttp_request* request, void* argument);
-    static void on_error(evhttp_request_error cause, void* argument);
-    static void on_close(evhttp_connection* http, void* argument);
-    static void on_free_retired(evutil_socket_t socket, short what, void* self);
+    static void on_timeout(evutil_socket_t socket, short what, void* argument);
 
     connection* find(connection_id id);
-    bool send_request(connection& to, evhttp_request* request,
-                      evhttp_cmd_type method, const std::string& path,
-                      duration timeout);
+    // Ends the connection if nothing is answered within the limit.
+    void limit_time(connection& of, duration limit);
     void send_probe(connection& to, duration timeout);
     void send_work(connection& to, const send_to_leaf& effect);
     // Sends the effect that waited for a cancellation, if there is one.
     void send_deferred(connection& to);
-    // Retires the connection and posts its failure.
-    void fail(connection& lost, const error& cause);
-    void retire(connection_id id);
-    error failure(const connection& from, const char* step) const;
+    void handle_answer(connection_id id, http::response answer, bool reusable);
+    void handle_probe_answer(connection& from, const http::response& answer);
+    void handle_work_answer(connection& from, http::response answer);
+    void handle_cancel_answer(connection& from);
+    // Removes the connection and posts its failure.
+    void fail(connection& failed, errc code, std::string detail);
+    void fail(connection& failed, const error& cause);
     std::string attempt_name(attempt_id attempt) const;
 
     event_base* base_;
     std::string attempt_prefix_;
     sink sink_;
     std::unordered_map<connection_id, std::unique_ptr<connection>> open_;
-    // Connections to be freed by deferred_free_ from the event loop: libevent
-    // may still use a connection that is retired in its own callback.
-    std::vector<std::unique_ptr<connection>> retired_;
-    event_handle deferred_free_;
+    http::client http_;
 };
 
 } // namespace bulrushspring::shell
--- a/libraries/shell/leaf_http.cpp
+++ b/libraries/shell/leaf_http.cpp
@@ -1,15 +1,17 @@
 #include "libraries/shell/leaf_http.hpp"
 
+#include "libraries/shell/http.hpp"
+
 namespace bulrushspring::shell
 {
 namespace
 {
 
-constexpr int http_ok = 200;
-constexpr int http_no_content = 204;
-constexpr int http_cancelled = 499;
-constexpr int http_unavailable = 503;
-constexpr int http_deadline_passed = 504;
+constexpr unsigned http_ok = 200;
+constexpr unsigned http_no_content = 204;
+constexpr unsigned http_cancelled = 499;
+constexpr unsigned http_unavailable = 503;
+constexpr unsigned http_deadline_passed = 504;
 
 error malformed(std::string_view leaf, std::string detail)
 {
@@ -34,7 +36,7 @@
     return leaf_status::failed;
 }
 
-leaf_status read_status(int code, std::string_view refusal)
+leaf_status read_status(unsigned code, std::string_view refusal)
 {
     switch (code) {
     case http_ok:
@@ -58,89 +60,115 @@
     return text == "not_run" ? execution::not_run : execution::unknown;
 }
 
-result<std::uint64_t> read_number(evkeyvalq* headers, const char* name,
-                                  std::string_view leaf)
+result<std::uint64_t> read_number(const http::response& answer,
+                                  const char* name, std::string_view leaf)
 {
-    const auto value = parse_number(header(headers, name));
+    const auto value = parse_number(http::header_value(answer.headers, name));
     if (!value) {
         return malformed(leaf, std::string(name) + ": expected a number");
     }
     return *value;
 }
 
-void add_number(evkeyvalq* headers, const char* name, std::uint64_t value)
+// The number of requests queued at the leaf; 0 if it isn't stated.
+std::uint32_t read_queued(const http::response& answer)
+{
+    return static_cast<std::uint32_t>(
+        parse_number(http::header_value(answer.headers, "Bulrushspring-Queued"))
+            .value_or(0));
+}
+
+bool states_draining(const http::response& answer)
+{
+    return http::header_value(answer.headers, "Bulrushspring-Draining") ==
+           "yes";
+}
+
+http::request make_request(const char* method, std::string target)
 {
-    evhttp_add_header(headers, name, std::to_string(value).c_str());
+    http::request message;
+    message.method = method;
+    message.target = std::move(target);
+    message.headers = {{"Host", "leaf"}};
+    return message;
 }
 
 } // namespace
 
-void write_leaf_request(evhttp_request* request, const leaf_request& work,
-                        const std::string& attempt)
+http::request make_work_request(const leaf_request& work,
+                                const std::string& attempt)
 {
-    auto* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", "leaf");
-    evhttp_add_header(headers, "Bulrushspring-Request-Id",
-                      work.request_id.c_str());
-    evhttp_add_header(headers, "Bulrushspring-Attempt", attempt.c_str());
-    add_number(headers, "Bulrushspring-Snapshot", work.snapshot);
-    add_number(headers, "Bulrushspring-Shard", work.shard);
+    auto message = make_request("POST", "/v1/work/" + work.service);
+    const auto add = [&](const char* name, std::string value) {
+        message.headers.push_back({name, std::move(value)});
+    };
+    add("Bulrushspring-Request-Id", work.request_id);
+    add(attempt_header, attempt);
+    add("Bulrushspring-Snapshot", std::to_string(work.snapshot));
+    add("Bulrushspring-Shard", std::to_string(work.shard));
     if (!work.key.empty()) {
-        evhttp_add_header(headers, "Bulrushspring-Key", work.key.c_str());
+        add("Bulrushspring-Key", work.key);
     }
-    add_number(headers, "Bulrushspring-Deadline-Ms",
-               static_cast<std::uint64_t>(to_milliseconds(work.time_left)));
-    evhttp_add_header(headers, "Bulrushspring-Idempotent",
-                      work.idempotent ? "yes" : "no");
+    add("Bulrushspring-Deadline-Ms",
+        std::to_string(to_milliseconds(work.time_left)));
+    add("Bulrushspring-Idempotent", work.idempotent ? "yes" : "no");
     if (work.body) {
-        evbuffer_add(evhttp_request_get_output_buffer(request),
-                     work.body->data(), work.body->size());
+        message.body = *work.body;
     }
+    return message;
+}
+
+http::request make_probe_request()
+{
+    return make_request("GET", "/v1/probe");
+}
+
+http::request make_cancel_request(const std::string& attempt)
+{
+    return make_request("DELETE", "/v1/work/" + attempt);
 }
 
-result<leaf_answer> read_leaf_answer(evhttp_request* request,
+result<leaf_answer> read_leaf_answer(http::response answer,
                                      std::string_view attempt,
                                      std::string_view leaf)
 {
-    auto* headers = evhttp_request_get_input_headers(request);
-    if (header(headers, "Bulrushspring-Attempt") != attempt) {
+    const auto value = [&](const char* name) {
+        return http::header_value(answer.headers, name);
+    };
+    if (value(attempt_header) != attempt) {
         return malformed(leaf, "Bulrushspring-Attempt: names another attempt");
     }
-    leaf_answer answer;
-    answer.status = read_status(evhttp_request_get_response_code(request),
-                                header(headers, "Bulrushspring-Refusal"));
-    answer.run = read_execution(header(headers, "Bulrushspring-Run"));
-    answer.request_id = header(headers, "Bulrushspring-Request-Id");
-    TRY(snapshot, read_number(headers, "Bulrushspring-Snapshot", leaf));
-    answer.snapshot = snapshot;
-    TRY(shard, read_number(headers, "Bulrushspring-Shard", leaf));
+    leaf_answer read;
+    read.status = read_status(answer.status, value("Bulrushspring-Refusal"));
+    read.run = read_execution(value("Bulrushspring-Run"));
+    read.request_id = value("Bulrushspring-Request-Id");
+    TRY(snapshot, read_number(answer, "Bulrushspring-Snapshot", leaf));
+    read.snapshot = snapshot;
+    TRY(shard, read_number(answer, "Bulrushspring-Shard", leaf));
     if (shard > UINT32_MAX) {
         return malformed(leaf, "Bulrushspring-Shard: too large");
     }
-    answer.shard = static_cast<manifest::shard_id>(shard);
-    answer.current_snapshot =
-        parse_number(header(headers, "Bulrushspring-Current-Snapshot"))
-            .value_or(0);
-    answer.draining = header(headers, "Bulrushspring-Draining") == "yes";
-    answer.queued = static_cast<std::uint32_t>(
-        parse_number(header(headers, "Bulrushspring-Queued")).value_or(0));
-    answer.body = content_of(evhttp_request_get_input_buffer(request));
-    return answer;
+    read.shard = static_cast<manifest::shard_id>(shard);
+    read.current_snapshot =
+        parse_number(value("Bulrushspring-Current-Snapshot")).value_or(0);
+    read.draining = states_draining(answer);
+    read.queued = read_queued(answer);
+    read.body = std::move(answer.body);
+    return read;
 }
 
-result<leaf_health> read_leaf_health(evhttp_request* request,
+result<leaf_health> read_leaf_health(const http::response& answer,
                                      std::string_view leaf)
 {
-    const int code = evhttp_request_get_response_code(request);
-    if (code != http_ok && code != http_no_content) {
-        return malformed(leaf, "probe: expected status 200 or 204");
+    if (answer.status != http_ok && answer.status != http_no_content) {
+        return malformed(leaf, "probe: expected status 200 or 204, found " +
+                                   std::to_string(answer.status));
     }
-    auto* headers = evhttp_request_get_input_headers(request);
     leaf_health health;
-    health.draining = header(headers, "Bulrushspring-Draining") == "yes";
-    health.warm = header(headers, "Bulrushspring-Warm") != "no";
-    health.queued = static_cast<std::uint32_t>(
-        parse_number(header(headers, "Bulrushspring-Queued")).value_or(0));
+    health.draining = states_draining(answer);
+    health.warm =
+        http::header_value(answer.headers, "Bulrushspring-Warm") != "no";
+    health.queued = read_queued(answer);
     return health;
 }
 
--- a/libraries/shell/runner.cpp
+++ b/libraries/shell/runner.cpp
@@ -33,7 +33,13 @@
 constexpr seconds memory_review_interval{1};
 
 // Who holds a candidate for dropping.
-enum class holder : std::uint32_t { callers, operators, peers };
+enum class holder : std::uint32_t {
+    callers,
+    operators,
+    peers,
+    leafs,
+    platform,
+};
 
 std::uint32_t number_of(holder which)
 {
@@ -215,6 +221,8 @@
     callers_->list_candidates(all, number_of(holder::callers), now);
     operators_->list_candidates(all, number_of(holder::operators), now);
     streams_->list_candidates(all, number_of(holder::peers), now);
+    leafs_->list_candidates(all, number_of(holder::leafs));
+    platform_->list_candidates(all, number_of(holder::platform));
     return all;
 }
 
@@ -230,6 +238,12 @@
     case holder::peers:
         streams_->drop(what);
         return;
+    case holder::leafs:
+        leafs_->drop(what);
+        return;
+    case holder::platform:
+        platform_->drop(what);
+        return;
     }
 }
 
@@ -244,7 +258,7 @@
         account_, [this] { return list_candidates(); },
         [this](const auto& each, bool silently) { drop(each, silently); });
     write(memory::describe_drops(reserved, connections, counts, account_));
-    memory::end_reclaim(account_);
+    leafs_->pause_unrepeatable(memory::end_reclaim(account_));
 }
 
 void runner::review_memory()
@@ -256,6 +270,7 @@
     memory_reviewed_at_ = now;
     account_.retry_above = 0;
     memory::reclaim_if_over(&account_);
+    leafs_->pause_unrepeatable(memory::is_over_limit(account_));
     if (memory::should_return_memory(account_)) {
         memory::return_free_memory();
         write(make_record(memory::memory_returned,
--- a/tests/crowd/crowd.hpp
+++ b/tests/crowd/crowd.hpp
@@ -2,10 +2,10 @@
 #define BULRUSHSPRING_TESTS_CROWD_CROWD_HPP
 
 #include "tests/http/loop.hpp"
+#include "tests/support/process.hpp"
 
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
 #include <memory>
 #include <vector>
 
@@ -111,19 +111,6 @@
     std::vector<std::unique_ptr<caller>> callers_;
 };
 
-// A value of /proc/PID/status in kB; 0 if the process has ended.
-inline std::uint64_t status_kb(pid_t process, const std::string& name)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/status");
-    for (std::string word; file >> word;) {
-        std::uint64_t value = 0;
-        if (word == name + ":" && file >> value) {
-            return value;
-        }
-    }
-    return 0;
-}
-
 inline std::size_t open_descriptors(pid_t process)
 {
     std::error_code failed;
--- /dev/null
+++ b/tests/endless/endless_test.cpp
@@ -0,0 +1,472 @@
+#include "libraries/wire/frame.hpp"
+#include "platform/names.hpp"
+#include "tests/endless/endless_server.hpp"
+#include "tests/http/loop.hpp"
+#include "tests/soak/site_fixture.hpp"
+#include "tests/support/system_fleet.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushspring;
+using namespace bulrushspring::test;
+
+// A leaf, the configuration service or another daemon sent bytes without end;
+// the daemon kept them until it was ended for its memory, and with it the
+// requests of other callers.
+namespace
+{
+
+constexpr std::uint64_t platformd_mb = 24;
+constexpr std::uint64_t daemon_mb = 32;
+constexpr std::size_t callers = 16;
+constexpr milliseconds span{1000};           // of each kind of bytes
+constexpr seconds settling_time{10};         // after the last of them
+constexpr std::uint64_t max_kept_kb = 10240; // above the start, after that
+#if defined(__SANITIZE_ADDRESS__)
+constexpr bool checks_memory = false; // the sanitizer multiplies it
+#else
+constexpr bool checks_memory = true;
+#endif
+
+std::vector<endless_answer> all_kinds()
+{
+    auto all = endless_answers;
+    all.insert(all.end(), overlong_answers.begin(), overlong_answers.end());
+    return all;
+}
+
+// Few, since a daemon waits longer after each answer that it can't use.
+const std::vector<endless_answer> platform_kinds = {
+    endless_answers[2], endless_answers[3],  endless_answers[5],
+    endless_answers[6], endless_answers[10], endless_answers[11]};
+
+bool counts_unusable_answers(const std::string& metrics)
+{
+    const std::string name = "\nbulrushspring_leaf_answers_unusable_total ";
+    const auto found = metrics.find(name);
+    return found != std::string::npos && metrics[found + name.size()] != '0';
+}
+
+// Checks the memory of a process that is sent bytes without end.
+class memory_check
+{
+public:
+    memory_check(pid_t process, std::uint64_t mb)
+        : process_(process), limit_kb_(mb * 1024),
+          start_kb_(status_kb(process, "VmRSS"))
+    {
+    }
+
+    void check_peak(const char* what) const
+    {
+        const auto peak = status_kb(process_, "VmHWM");
+        BOOST_TEST_MESSAGE(what << ": peak " << peak << " kB, at the start "
+                                << start_kb_);
+        BOOST_REQUIRE_MESSAGE(status_kb(process_, "VmRSS") > 0U,
+                              "the daemon has ended");
+        if (checks_memory) {
+            BOOST_TEST(peak < limit_kb_);
+        }
+    }
+
+    // Once nothing more is sent.
+    void check_return() const
+    {
+        const system_boot_clock clock;
+        const auto until = clock.now() + settling_time;
+        const auto kept = [&] {
+            return status_kb(process_, "VmRSS") > start_kb_ + max_kept_kb;
+        };
+        while (kept() && clock.now() < until) {
+            std::this_thread::sleep_for(milliseconds{50});
+        }
+        BOOST_TEST_MESSAGE("afterwards " << status_kb(process_, "VmRSS")
+                                         << " kB");
+        BOOST_TEST((!checks_memory || !kept()));
+    }
+
+private:
+    pid_t process_;
+    std::uint64_t limit_kb_;
+    std::uint64_t start_kb_;
+};
+
+// Callers in threads of their own that repeat a call for a time.
+template <typename Call>
+void call_repeatedly(const Call& call)
+{
+    const system_boot_clock clock;
+    const auto until = clock.now() + span;
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < callers; ++i) {
+        threads.emplace_back([&] {
+            while (clock.now() < until) {
+                call();
+            }
+        });
+    }
+    for (auto& each : threads) {
+        each.join();
+    }
+}
+
+// Connections to a daemon's port for other daemons: half of them send a request
+// and more without end, the others a frame without its end. Nothing is read.
+void flood_peers_port(const endpoint& address)
+{
+    constexpr std::size_t connections = 64;
+    const auto request =
+        wire::encode(wire::peer_request(wire::members_request{})).value();
+    const auto begun = std::string("\x00\x3F\xFF\xFF", 4);
+    const std::string block(65536, 'p');
+    std::vector<std::unique_ptr<http_test::raw_socket>> peers;
+    for (std::size_t i = 0; i < connections; ++i) {
+        peers.push_back(std::make_unique<http_test::raw_socket>(
+            http_test::connect_to(address)));
+        peers.back()->send(i % 2 == 0 ? request : begun);
+    }
+    const system_boot_clock clock;
+    const auto until = clock.now() + 3 * span;
+    while (clock.now() < until) {
+        for (auto& each : peers) {
+            each->send(block);
+        }
+        std::this_thread::sleep_for(milliseconds{1});
+    }
+}
+
+// A fleet of which one daemon is tried: leafs of two services of its own send
+// without end.
+struct fleet_fixture {
+    static constexpr int tried = 1;
+    system_fleet fleet{"127.",
+                       "memory_mb = " + std::to_string(daemon_mb) + "\n"};
+    std::vector<std::unique_ptr<endless_server>> leafs;
+    std::atomic<bool> proper{false}; // whether the leafs answer properly
+    std::mutex mutex;
+    std::map<std::string, int> arrivals; // by request id
+    std::atomic<int> requests{0};
+
+    std::string answer_as_leaf(const std::string& request)
+    {
+        if (request.starts_with("GET /v1/probe") ||
+            request.starts_with("DELETE ")) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        }
+        const auto repeated = [&](const std::string& name) {
+            return name + ": " + header_in(request, name) + "\r\n";
+        };
+        const std::lock_guard lock(mutex);
+        ++arrivals[header_in(request, "Bulrushspring-Request-Id")];
+        return !proper ? ""
+                       : "HTTP/1.1 200 OK\r\n" +
+                             repeated("Bulrushspring-Request-Id") +
+                             repeated("Bulrushspring-Attempt") +
+                             repeated("Bulrushspring-Shard") +
+                             "Bulrushspring-Snapshot: 1\r\n"
+                             "Bulrushspring-Run: ran\r\n"
+                             "Content-Length: 2\r\n\r\nok";
+    }
+
+    void start_endless_leafs()
+    {
+        std::string pool = "[pool]\nserve = 1\nslots = 16\nconnections = "
+                           "96\n[snapshot 1]\nshards = 1\n";
+        for (std::uint16_t i = 0; i < 2; ++i) {
+            endpoint address = fleet.caller_address(tried);
+            address.port = static_cast<std::uint16_t>(8300 + i);
+            leafs.push_back(std::make_unique<endless_server>(
+                address, "Bulrushspring-Attempt", [this](const auto& request) {
+                    return answer_as_leaf(request);
+                }));
+            BOOST_REQUIRE(leafs.back()->ready());
+            pool += "[leaf noise-" + std::to_string(i) +
+                    "]\naddress = " + to_string(address) +
+                    "\ndata_centre = dc-1\nstate = live\nholds = 1/0\n";
+        }
+        fleet.publish(2, "pool.noise", pool);
+        fleet.publish(3, "service.noise",
+                      "[service]\nkind = read\npool = noise\n"
+                      "deadline_ms = 3000\nhedge_budget = 0.05\n");
+        fleet.publish(4, "service.noisy-order",
+                      "[service]\nkind = request\npool = noise\n"
+                      "deadline_ms = 3000\n");
+        fleet.wait_for_version(4);
+    }
+
+    int status_of(const std::string& target)
+    {
+        client::http_request request;
+        request.method = client::http_method::post;
+        request.target = target;
+        request.headers = {
+            {"Bulrushspring-Request-Id", "r" + std::to_string(++requests)}};
+        const auto answer =
+            client::exchange(fleet.caller_address(tried), request, seconds{10});
+        return answer.response ? answer.response.value().status : 0;
+    }
+    bool is_served() { return status_of("/v1/read/track?key=k") == 200; }
+};
+
+// Two daemons of the users' platform, of which the second is tried: the leafs
+// of one service send without end.
+struct site_fixture {
+    shell::base_handle base = client::make_event_base();
+    site::installation site;
+    std::vector<std::unique_ptr<endless_server>> leafs;
+    std::size_t requests = 0;
+
+    site_fixture()
+        : site(base.get(), [] {
+              auto options = make_site_options("endless");
+              options.daemons = 2;
+              options.shards = 2;
+              options.leafs = 2;
+              options.memory_mb = platformd_mb;
+              return options;
+          }())
+    {
+        for (auto& each : site.daemons) {
+            site.start(each);
+        }
+        while (!is_served()) {
+        }
+    }
+
+    site::daemon& tried() { return site.daemons[1]; }
+
+    // Replaces the leafs of the service that does not gather.
+    void start_endless_leafs()
+    {
+        for (auto& each : site.leafs) {
+            if (each.server->options().service != "single") {
+                continue;
+            }
+            endpoint address = each.address;
+            address.port = 8300;
+            leafs.push_back(std::make_unique<endless_server>(
+                address, "Attempt-Id", [](const std::string& request) {
+                    return std::string(
+                        request.starts_with("GET /health ")
+                            ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                            : "");
+                }));
+            BOOST_REQUIRE(leafs.back()->ready());
+            auto entry = json::parse(each.server->published(false));
+            entry["address"] = to_string(address);
+            site.remove(each);
+            site.platform_store.put(std::string(platform::names::leaf_prefix) +
+                                        "noise-" + std::to_string(leafs.size()),
+                                    entry.dump());
+        }
+        wait([&] { return !site.leafs.empty(); }, seconds{3});
+    }
+
+    void turn()
+    {
+        run_loop(base.get(), milliseconds{5}, [] {});
+    }
+
+    template <typename Condition>
+    void wait(const Condition& each_turn, duration time)
+    {
+        const system_boot_clock clock;
+        const auto until = clock.now() + time;
+        while (clock.now() < until && each_turn()) {
+            turn();
+        }
+    }
+
+    std::string request(const std::string& line)
+    {
+        return line +
+               " HTTP/1.1\r\nHost: site.example\r\nDeadline-Ms: "
+               "2000\r\nAttempt-Id: e" +
+               std::to_string(++requests) + "\r\n\r\n";
+    }
+
+    bool is_served()
+    {
+        http_test::raw_socket caller(
+            http_test::connect_to(site.callers_address(tried())));
+        caller.send(request("GET /q/ordinary"));
+        wait(
+            [&] {
+                caller.receive();
+                return caller.received.empty() && !caller.ended;
+            },
+            seconds{5});
+        return caller.received.starts_with("HTTP/1.1 200");
+    }
+
+    std::string metrics()
+    {
+        http_test::raw_socket reader(
+            http_test::connect_to(site.metrics_address(tried())));
+        reader.send("GET /metrics HTTP/1.1\r\nHost: h\r\n"
+                    "Connection: close\r\n\r\n");
+        wait(
+            [&] {
+                reader.receive();
+                return !reader.ended;
+            },
+            seconds{5});
+        return reader.received;
+    }
+
+    // Callers that repeat a request for a time.
+    void call_repeatedly(const std::string& line)
+    {
+        std::vector<std::unique_ptr<http_test::raw_socket>> open(callers);
+        wait(
+            [&] {
+                for (auto& each : open) {
+                    if (each) {
+                        each->receive();
+                    }
+                    if (!each || each->ended || !each->received.empty()) {
+                        each = std::make_unique<http_test::raw_socket>(
+                            http_test::connect_to(
+                                site.callers_address(tried())));
+                        each->send(request(line));
+                    }
+                }
+                return true;
+            },
+            span);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(endless_leafs_do_not_exhaust_platformd, site_fixture)
+{
+    start_endless_leafs();
+    const memory_check memory(tried().process, platformd_mb);
+    for (const auto& kind : all_kinds()) {
+        for (auto& each : leafs) {
+            each->send({kind});
+        }
+        call_repeatedly("GET /s/noise");
+        memory.check_peak(kind.what);
+        BOOST_TEST(is_served());
+    }
+    for (auto& each : leafs) {
+        BOOST_TEST(each->begun() > 0U);
+    }
+    BOOST_TEST(counts_unusable_answers(metrics()));
+    memory.check_return();
+}
+
+BOOST_FIXTURE_TEST_CASE(an_endless_store_does_not_exhaust_platformd,
+                        site_fixture)
+{
+    endpoint address = site.callers_address(tried());
+    address.port = 8310;
+    endless_server store(address, "Id", nullptr);
+    BOOST_REQUIRE(store.ready());
+    store.send(platform_kinds);
+    site.signal(tried(), SIGKILL);
+    wait(
+        [&] {
+            site.reap();
+            return tried().process > 0;
+        },
+        seconds{5});
+    const auto file =
+        make_site_options("endless").folder + "/" + tried().name + ".conf";
+    auto settings = read_text(file);
+    const std::string key = "platform.address=";
+    const auto value = settings.find(key) + key.size();
+    settings.replace(value, settings.find('\n', value) - value,
+                     to_string(address));
+    write_text(file, settings);
+    site.start(tried());
+    wait([&] { return !is_served(); }, seconds{30});
+    const memory_check memory(tried().process, platformd_mb);
+    wait([&] { return store.begun() <= platform_kinds.size(); }, seconds{60});
+    BOOST_TEST(store.begun() > platform_kinds.size());
+    memory.check_peak("store");
+    BOOST_TEST(is_served());
+    store.send({});
+    memory.check_return();
+}
+
+BOOST_FIXTURE_TEST_CASE(endless_peers_do_not_exhaust_platformd, site_fixture)
+{
+    const memory_check memory(tried().process, platformd_mb);
+    flood_peers_port(site.peers_address(tried()));
+    memory.check_peak("peers");
+    BOOST_TEST(is_served());
+    memory.check_return();
+}
+
+BOOST_FIXTURE_TEST_CASE(endless_leafs_do_not_exhaust_bulrushspringd,
+                        fleet_fixture)
+{
+    fleet.start_daemons();
+    start_endless_leafs();
+    BOOST_REQUIRE(is_served());
+    const memory_check memory(fleet.daemon(tried).id(), daemon_mb);
+    for (const auto& kind : all_kinds()) {
+        for (auto& each : leafs) {
+            each->send({kind});
+        }
+        call_repeatedly([&] { status_of("/v1/read/noise?key=k"); });
+        memory.check_peak(kind.what);
+        BOOST_TEST(is_served());
+    }
+    // The order may have run: it is neither repeated nor awaited until its
+    // deadline.
+    const auto& order = fleet.send_call(
+        "noisy-order", manifest::service_kind::request, "noisy-order-1");
+    BOOST_TEST((order.answer.run == execution::unknown));
+    BOOST_TEST(order.answer.reason == "connection_lost");
+    {
+        const std::lock_guard lock(mutex);
+        BOOST_TEST(arrivals["noisy-order-1"] == 1);
+    }
+    for (auto& each : leafs) {
+        BOOST_TEST(each->begun() > 0U);
+    }
+    const auto log = fleet.read_log(tried);
+    BOOST_TEST((log.find("answer_unusable leaf=noise-") != std::string::npos));
+    BOOST_TEST(counts_unusable_answers(
+        fleet.http_get(fleet.operator_address(tried), "/metrics")));
+    memory.check_return();
+    // Both leafs are found again.
+    proper = true;
+    wait_until([&] { return status_of("/v1/read/noise?key=k") == 200; });
+}
+
+BOOST_FIXTURE_TEST_CASE(an_endless_platform_does_not_exhaust_bulrushspringd,
+                        fleet_fixture)
+{
+    fleet.start_daemons();
+    endpoint address = fleet.caller_address(tried);
+    address.port = 8310;
+    endless_server platform(address, "Id", nullptr);
+    BOOST_REQUIRE(platform.ready());
+    platform.send(platform_kinds);
+    fleet.kill_daemon(tried);
+    fleet.use_platform(tried, address);
+    fleet.start_daemon(tried);
+    fleet.wait_for_version(1); // from the other daemons
+    const memory_check memory(fleet.daemon(tried).id(), daemon_mb);
+    wait_until([&] { return platform.begun() > platform_kinds.size(); });
+    memory.check_peak("platform");
+    BOOST_TEST(is_served());
+    platform.send({});
+    memory.check_return();
+}
+
+BOOST_FIXTURE_TEST_CASE(endless_peers_do_not_exhaust_bulrushspringd,
+                        fleet_fixture)
+{
+    fleet.start_daemons();
+    const memory_check memory(fleet.daemon(tried).id(), daemon_mb);
+    flood_peers_port(fleet.peer_address(tried));
+    memory.check_peak("peers");
+    BOOST_TEST(is_served());
+    memory.check_return();
+}
--- a/tests/http/endless_answers_test.cpp
+++ b/tests/http/endless_answers_test.cpp
@@ -1,4 +1,5 @@
 #include "libraries/http/client.hpp"
+#include "tests/http/endless_answers.hpp"
 #include "tests/http/loop.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -80,32 +81,6 @@
     }
 };
 
-struct endless_case {
-    const char* what;
-    std::string start;
-    std::string repeated;
-};
-
-const std::string chunked =
-    "HTTP/1.1 200 OK\r\nId: r2\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-const std::vector<endless_case> endless_cases = {
-    {"status line", "HTTP/1.1 200 ", "a"},
-    {"header", "HTTP/1.1 200 OK\r\nA: ", "a"},
-    {"headers", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-    {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-    {"answers to another request", "",
-     "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 1\r\n\r\na"},
-    {"digits of a chunk size", chunked, "0"},
-    {"chunk extension", chunked + "1;a=", "a"},
-    {"extension of the last chunk", chunked + "0;a=", "a"},
-    {"trailers", chunked + "0\r\n", "A: b\r\n"},
-    {"chunks with long extensions", chunked,
-     "1;a=" + std::string(900, 'a') + "\r\nb\r\n"},
-    {"chunks", chunked, "4\r\nabcd\r\n"},
-    {"body without a length", "HTTP/1.1 200 OK\r\nId: r2\r\n\r\n", "a"},
-};
-
 } // namespace
 
 // Bytes without end that are no answer were kept, or skipped, for as long as
@@ -113,7 +88,7 @@
 BOOST_AUTO_TEST_CASE(answers_without_end_close_the_connection)
 {
     constexpr std::size_t most = 4UL * 1024 * 1024;
-    for (const auto& each : endless_cases) {
+    for (const auto& each : test::endless_answers) {
         BOOST_TEST_CONTEXT(each.what)
         {
             fixture test{{1024, 65536}};
@@ -153,7 +128,7 @@
         bytes += "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: r1\r\n"
                  "Content-Length: 1\r\n\r\na";
     }
-    bytes += chunked;
+    bytes += test::chunked_answer;
     for (int i = 0; i < 65536; ++i) {
         bytes += "1\r\na\r\n";
     }
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -88,6 +88,19 @@
     pid_t id_ = -1;
 };
 
+// A value of /proc/PID/status in kB; 0 if the process has ended.
+inline std::uint64_t status_kb(pid_t process, const std::string& name)
+{
+    std::ifstream file("/proc/" + std::to_string(process) + "/status");
+    for (std::string word; file >> word;) {
+        std::uint64_t value = 0;
+        if (word == name + ":" && file >> value) {
+            return value;
+        }
+    }
+    return 0;
+}
+
 // Polls until a condition holds. It has no timeout of its own: the time limit
 // of the test runner ends a test whose condition never holds.
 template <typename Condition>
--- a/tests/support/system_fleet.hpp
+++ b/tests/support/system_fleet.hpp
@@ -41,6 +41,12 @@
         start_leafs("desk");
     }
 
+    // Has the daemon read another platform, from its next start on.
+    void use_platform(int number, const endpoint& platform)
+    {
+        other_platforms_.insert_or_assign(number, platform);
+    }
+
     void start_daemon(int number)
     {
         const std::string file = folder_ / (daemon_name(number) + ".ini");
@@ -232,6 +238,11 @@
                               std::to_string(7000 + 10 * number + offset))
             .value();
     }
+    endpoint platform_of(int number) const
+    {
+        const auto found = other_platforms_.find(number);
+        return found == other_platforms_.end() ? platform_ : found->second;
+    }
     std::string publication_folder() const { return folder_ / "published"; }
 
     std::string daemon_settings(int number) const
@@ -242,7 +253,7 @@
                to_string(caller_address(number)) +
                "\npeers = " + to_string(peer_address(number)) +
                "\noperators = " + to_string(operator_address(number)) +
-               "\n[platform]\naddress = " + to_string(platform_) +
+               "\n[platform]\naddress = " + to_string(platform_of(number)) +
                "\n[seeds]\na = " + to_string(peer_address(1)) +
                "\nb = " + to_string(peer_address(2)) +
                "\n[limits]\naddress_hold_ms = 300\n" + limits_;
@@ -372,6 +383,7 @@
     std::map<std::string, std::string> sections_;
     endpoint platform_;
     endpoint platform_admin_;
+    std::map<int, endpoint> other_platforms_;
     std::map<std::string, endpoint> leaf_admin_;
     std::vector<process> platform_process_;
     std::map<std::string, process> leafs_;
