queries, shell: Charge queries for the lines they keep of leafs' answers

Cause: a query keeps the best lines of its leafs' answers until it is answered. A line may be as long as an answer, 1 MB, and 2,048 queries may be in progress; none of it counted in the memory account.

Change: complete answers carry their charge, and a query is charged for its lines. Under pressure, unfinished answers of leafs and of the platform are dropped, then queries, the largest first, which are answered with the parts that they have. Large answers to orders are not read while the account is exhausted. docs/design/memory.md has the order.

--- a/libraries/node/node.cpp
+++ b/libraries/node/node.cpp
@@ -227,6 +227,11 @@
     requests::reduce(self.requests, self.targets, event, context);
 }
 
+void step(state& self, const queries_dropped& event, context& context)
+{
+    queries::reduce(self.queries, self.targets, event, context);
+}
+
 void step(state& self, const stop_requested& event, context& context)
 {
     if (self.stop_requested_at) {
--- a/libraries/queries/fan_out.cpp
+++ b/libraries/queries/fan_out.cpp
@@ -430,6 +430,8 @@
     query.covered = 0;
     query.missing = 0;
     query.lines.lines.clear();
+    query.lines.text_bytes = 0;
+    query.held.set(0);
     send_all_shards(step, query);
     return true;
 }
--- a/libraries/queries/merge.cpp
+++ b/libraries/queries/merge.cpp
@@ -75,14 +75,21 @@
             return;
         }
         std::pop_heap(lines.begin(), lines.end(), better_line);
+        self.text_bytes -= lines.back().text.size();
         lines.pop_back();
     }
     lines.push_back({line.score, std::string(line.text)});
+    self.text_bytes += line.text.size();
     std::push_heap(lines.begin(), lines.end(), better_line);
 }
 
 } // namespace
 
+std::size_t size_in_memory(const merged_lines& self)
+{
+    return self.lines.size() * sizeof(scored_line) + self.text_bytes;
+}
+
 bool merge(merged_lines& self, std::string_view body)
 {
     if (!for_each_line(body, [](const line_view&) {})) {
@@ -100,6 +107,7 @@
         text += '\n';
     }
     self.lines.clear();
+    self.text_bytes = 0;
     return text;
 }
 
--- a/libraries/queries/merge.hpp
+++ b/libraries/queries/merge.hpp
@@ -19,8 +19,12 @@
 struct merged_lines {
     std::size_t max_lines = 0;
     std::vector<scored_line> lines; // a heap with the worst line in front
+    std::size_t text_bytes = 0;     // of all lines
 };
 
+// The memory in bytes that the lines occupy.
+std::size_t size_in_memory(const merged_lines& self);
+
 // Adds the lines of one leaf's answer: "SCORE<TAB>TEXT", each terminated by a
 // newline, which is optional after the last. Returns false and adds nothing if
 // any line is malformed.
--- a/libraries/queries/queries.cpp
+++ b/libraries/queries/queries.cpp
@@ -139,6 +139,10 @@
         log_attempt(step, body_malformed, query, attempt, {});
         return false;
     }
+    if (query.held.bytes() == 0) {
+        query.held = answer.held; // names the account
+    }
+    query.held.set(size_in_memory(query.lines));
     mark_covered(step, query, attempt.shard);
     return true;
 }
@@ -311,6 +315,34 @@
     }
 }
 
+void reduce(state& self, targets::state& targets, const queries_dropped& event,
+            context& context)
+{
+    step step{self, targets, context};
+    for (const auto token : event.tokens) {
+        const auto found = self.queries.find(raw(token));
+        if (found != self.queries.end()) {
+            answer_query(step, found->second);
+        }
+    }
+}
+
+void list_candidates(const state& self, std::vector<memory::candidate>& all,
+                     std::uint32_t holder)
+{
+    for (const auto& [token, query] : self.queries) {
+        if (query.held.bytes() == 0) {
+            continue;
+        }
+        memory::candidate found;
+        found.kind = memory::drop_kind::response;
+        found.bytes = query.held.bytes();
+        found.holder = holder;
+        found.id = token;
+        all.push_back(found);
+    }
+}
+
 void assign_connections(state& self, targets::state& targets, context& context)
 {
     if (self.waiters == 0) {
--- a/libraries/queries/queries.hpp
+++ b/libraries/queries/queries.hpp
@@ -28,6 +28,9 @@
             context& context);
 void reduce(state& self, targets::state& targets,
             const caller_disconnected& event, context& context);
+// Answers the queries as if their deadlines had passed.
+void reduce(state& self, targets::state& targets, const queries_dropped& event,
+            context& context);
 void reduce(state& self, targets::state& targets, const manifest_changed& event,
             context& context);
 
@@ -35,6 +38,10 @@
 // first.
 void assign_connections(state& self, targets::state& targets, context& context);
 
+// Adds the queries that hold leafs' answers, with `holder` as their holder.
+void list_candidates(const state& self, std::vector<memory::candidate>& all,
+                     std::uint32_t holder);
+
 // The number of queries that have not been answered.
 std::size_t in_flight(const state& self);
 
--- a/libraries/queries/state.hpp
+++ b/libraries/queries/state.hpp
@@ -84,6 +84,7 @@
     boot_time early_answer_at{}; // from then on the service may answer early
     boot_time wakeup_at{};       // its valid entry in state::timers
     merged_lines lines;
+    memory::charge held; // for `lines`
 };
 
 // An attempt that has not ended. If its answer is no longer wanted, it is kept
--- a/libraries/reducer/event.hpp
+++ b/libraries/reducer/event.hpp
@@ -113,13 +113,18 @@
 struct stop_requested {
 };
 
+// Memory is short: these queries are answered with the parts that they have.
+struct queries_dropped {
+    std::vector<caller_token> tokens;
+};
+
 using event =
     std::variant<tick, datagram_received, peer_request_received,
                  peer_reply_received, platform_read_finished, manifest_changed,
                  vms_changed, leaf_leaving, connection_opened,
                  connection_closed, probe_answered, leaf_answered, leaf_failed,
                  caller_request_received, address_query_received,
-                 caller_disconnected, stop_requested>;
+                 caller_disconnected, stop_requested, queries_dropped>;
 
 } // namespace bulrushspring
 
--- a/libraries/shell/runner.cpp
+++ b/libraries/shell/runner.cpp
@@ -39,6 +39,7 @@
     peers,
     leafs,
     platform,
+    queries, // the reducer
 };
 
 std::uint32_t number_of(holder which)
@@ -223,6 +224,7 @@
     streams_->list_candidates(all, number_of(holder::peers), now);
     leafs_->list_candidates(all, number_of(holder::leafs));
     platform_->list_candidates(all, number_of(holder::platform));
+    queries::list_candidates(node_->queries, all, number_of(holder::queries));
     return all;
 }
 
@@ -244,6 +246,9 @@
     case holder::platform:
         platform_->drop(what);
         return;
+    case holder::queries:
+        dropped_queries_.push_back(caller_token{what.id});
+        return;
     }
 }
 
@@ -257,6 +262,9 @@
     const auto counts = memory::drop_excess(
         account_, [this] { return list_candidates(); },
         [this](const auto& each, bool silently) { drop(each, silently); });
+    if (!dropped_queries_.empty()) {
+        post(queries_dropped{std::exchange(dropped_queries_, {})});
+    }
     write(memory::describe_drops(reserved, connections, counts, account_));
     leafs_->pause_unrepeatable(memory::end_reclaim(account_));
 }
--- a/libraries/shell/runner.hpp
+++ b/libraries/shell/runner.hpp
@@ -58,6 +58,8 @@
     metrics::registry metrics_;
     memory::account account_;
     boot_time memory_reviewed_at_{};
+    // Chosen by the reclaim in progress.
+    std::vector<caller_token> dropped_queries_;
     std::unique_ptr<node::state> node_;
     std::unique_ptr<caller_server> callers_;
     std::unique_ptr<operator_server> operators_;
