--- a/tests/shell/peer_streams_test.cpp
+++ b/tests/shell/peer_streams_test.cpp
@@ -207,7 +207,9 @@
                    sizeof buffer_size);
     }
     const auto to = shell::to_socket_address(address);
-    connect(descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    BOOST_REQUIRE_EQUAL(
+        connect(descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof to),
+        0);
     raw_socket peer(descriptor);
     peer.send(request.value());
     BOOST_REQUIRE(until([&] { return !posted.empty(); }));
