--- a/libraries/queries/fan_out.cpp
+++ b/libraries/queries/fan_out.cpp
@@ -429,8 +429,7 @@
     query.shards.assign(newer->shards, shard_state{});
     query.covered = 0;
     query.missing = 0;
-    query.lines.lines.clear();
-    query.lines.text_bytes = 0;
+    clear(query.lines);
     query.held.set(0);
     send_all_shards(step, query);
     return true;
--- a/libraries/queries/merge.cpp
+++ b/libraries/queries/merge.cpp
@@ -106,9 +106,14 @@
         text += line.text;
         text += '\n';
     }
+    clear(self);
+    return text;
+}
+
+void clear(merged_lines& self)
+{
     self.lines.clear();
     self.text_bytes = 0;
-    return text;
 }
 
 } // namespace bulrushspring::queries
--- a/libraries/queries/merge.hpp
+++ b/libraries/queries/merge.hpp
@@ -34,6 +34,8 @@
 // equal score are ordered by their text.
 std::string take_text(merged_lines& self);
 
+void clear(merged_lines& self);
+
 } // namespace bulrushspring::queries
 
 #endif
