gateway: Count a leaf that ran a request after a cancelled repetition

Cause, found by reading: starting a repetition set the outcome of a leaf that was tried to pending, and remove_unsent erases pending leafs when the attempt is cancelled while its connection is being opened. The leaf, which had run the request, no longer counted toward the route's limit.

Change: the leaf keeps its outcome until the request is sent there once more.

--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -172,13 +172,11 @@
     made.charged = part.attempted;
     ++leaf.in_flight;
     part.outstanding.push_back(id);
-    const auto known =
-        std::find_if(part.tried.begin(), part.tried.end(),
-                     [&](const auto& each) { return each.leaf == made.leaf; });
-    if (known == part.tried.end()) {
+    // A leaf that was tried keeps its outcome until it is sent the request once
+    // more: the attempt may be cancelled before.
+    if (std::none_of(part.tried.begin(), part.tried.end(),
+                     [&](const auto& each) { return each.leaf == made.leaf; })) {
         part.tried.push_back({made.leaf, attempt_outcome::pending});
-    } else {
-        known->outcome = attempt_outcome::pending;
     }
     if (step.pool.connections.at(raw(*connection)).open) {
         transmit(step, exchange, part, made);
@@ -353,6 +351,11 @@
 {
     const auto now = step.context.now;
     started.sent = true;
+    for (auto& each : part.tried) {
+        if (each.leaf == started.leaf) {
+            each.outcome = attempt_outcome::pending;
+        }
+    }
     exchange.used_connections.push_back(started.connection);
     started.sent_at = now;
     mark_suspect(step, exchange, started);
--- a/tests/gateway/crashing_fixture.hpp
+++ b/tests/gateway/crashing_fixture.hpp
@@ -12,6 +12,7 @@
 // and whose addresses refuse connections from then on.
 struct crashing_fixture : gateway_fixture {
     std::set<std::string> down;
+    std::set<std::string> replaced;    // another leaf answers at the address
     std::vector<send_to_leaf> running; // sent and not answered
     std::vector<answer_request> answers;
     std::size_t poisoned = 0; // leafs that got the poison request
@@ -41,6 +42,7 @@
     // A crashed leaf is back under another id.
     void replace(const std::string& leaf, const std::string& service)
     {
+        replaced.insert(leaf);
         publish(gateway_fixture::leaf(leaf, service), true);
         publish(gateway_fixture::leaf(leaf + "x", service));
     }
@@ -67,10 +69,16 @@
     {
         for (auto sent = take<send_to_leaf>(); !sent.empty();
              sent = take<send_to_leaf>()) {
+            std::vector<send_to_leaf> run;
             for (const auto& each : sent) {
-                running.push_back(each);
+                if (replaced.count(each.leaf) > 0) {
+                    refuse(each, 421);
+                } else {
+                    run.push_back(each);
+                    running.push_back(each);
+                }
             }
-            for (const auto& each : sent) {
+            for (const auto& each : run) {
                 if (is_poison(each)) {
                     ++poisoned;
                     crash(each.leaf);
