tests: Play all endless kinds from the platform and the store; share the site

From a reread: test_endless and test_crowd had the same installation with an ordinary caller, which is served_site now. The configuration service and the store sent six of the 16 kinds, since a daemon waits longer after each; four daemons share the kinds now, and the store sends all.

--- a/tests/crowd/crowd.hpp
+++ b/tests/crowd/crowd.hpp
@@ -2,6 +2,7 @@
 #define BULRUSHSPRING_TESTS_CROWD_CROWD_HPP
 
 #include "tests/http/loop.hpp"
+#include "tests/soak/served_site.hpp"
 #include "tests/support/process.hpp"
 
 #include <algorithm>
@@ -15,7 +16,7 @@
 {
 
 inline constexpr std::size_t crowd_size = 240;
-inline constexpr std::size_t max_body = 262144; // legal
+inline constexpr std::size_t max_body = max_legal_body;
 
 // What each caller of a crowd sends. Most stop just short of the end.
 struct crowd_kind {
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -1,5 +1,5 @@
 #include "tests/crowd/crowd.hpp"
-#include "tests/soak/site_fixture.hpp"
+#include "tests/soak/served_site.hpp"
 #include "tests/support/system_fleet.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -64,56 +64,8 @@
 }
 
 // A daemon of the users' platform, with the store and the leafs.
-struct site_fixture {
-    shell::base_handle base = client::make_event_base();
-    site::installation site;
-    std::size_t requests = 0;
-
-    site_fixture()
-        : site(base.get(), [] {
-              auto options = make_site_options("crowd");
-              options.daemons = 1;
-              options.shards = 2;
-              options.leafs = 2;
-              options.memory_mb = platformd_mb;
-              options.max_body_bytes = max_body;
-              return options;
-          }())
-    {
-        site.start(site.daemons[0]);
-        while (!is_served()) {
-        }
-    }
-
-    endpoint address() const { return site.callers_address(site.daemons[0]); }
-
-    std::string head(const std::string& line)
-    {
-        return line +
-               " HTTP/1.1\r\nHost: site.example\r\nDeadline-Ms: "
-               "60000\r\nAttempt-Id: crowd" +
-               std::to_string(++requests) + "\r\n";
-    }
-
-    void turn()
-    {
-        run_loop(base.get(), milliseconds{5}, [] {});
-    }
-
-    bool is_served()
-    {
-        constexpr int turns = 1000;
-        http_test::raw_socket caller(http_test::connect_to(address()));
-        caller.send(head("GET /s/ordinary") + "\r\n");
-        for (int i = 0; i < turns && caller.received.empty(); ++i) {
-            turn();
-            caller.receive();
-            if (caller.ended) {
-                return false;
-            }
-        }
-        return caller.received.starts_with("HTTP/1.1 200");
-    }
+struct site_fixture : served_site {
+    site_fixture() : served_site("crowd", 1, platformd_mb, "GET /s/ordinary") {}
 };
 
 } // namespace
@@ -122,7 +74,7 @@
                         site_fixture)
 {
     check_crowds(
-        site.daemons[0].process, address(), platformd_mb,
+        tried().process, address(), platformd_mb,
         [this](std::size_t) { return head("POST /u/crowd"); },
         [this] { turn(); }, [this] { return is_served(); });
 }
--- a/tests/endless/endless_test.cpp
+++ b/tests/endless/endless_test.cpp
@@ -2,7 +2,7 @@
 #include "platform/names.hpp"
 #include "tests/endless/endless_server.hpp"
 #include "tests/http/loop.hpp"
-#include "tests/soak/site_fixture.hpp"
+#include "tests/soak/served_site.hpp"
 #include "tests/support/system_fleet.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -35,10 +35,16 @@
     return all;
 }
 
-// Few, since a daemon waits longer after each answer that it can't use.
-const std::vector<endless_answer> platform_kinds = {
-    endless_answers[2], endless_answers[3],  endless_answers[5],
-    endless_answers[6], endless_answers[10], endless_answers[11]};
+// The kinds in `parts` parts, of which this is one.
+std::vector<endless_answer> part_of_kinds(std::size_t part, std::size_t parts)
+{
+    std::vector<endless_answer> some;
+    const auto all = all_kinds();
+    for (auto i = part; i < all.size(); i += parts) {
+        some.push_back(all[i]);
+    }
+    return some;
+}
 
 bool counts_unusable_answers(const std::string& metrics)
 {
@@ -210,31 +216,13 @@
 
 // Two daemons of the users' platform, of which the second is tried: the leafs
 // of one service send without end.
-struct site_fixture {
-    shell::base_handle base = client::make_event_base();
-    site::installation site;
+struct site_fixture : served_site {
     std::vector<std::unique_ptr<endless_server>> leafs;
-    std::size_t requests = 0;
 
-    site_fixture()
-        : site(base.get(), [] {
-              auto options = make_site_options("endless");
-              options.daemons = 2;
-              options.shards = 2;
-              options.leafs = 2;
-              options.memory_mb = platformd_mb;
-              return options;
-          }())
+    site_fixture() : served_site("endless", 2, platformd_mb, "GET /q/ordinary")
     {
-        for (auto& each : site.daemons) {
-            site.start(each);
-        }
-        while (!is_served()) {
-        }
     }
 
-    site::daemon& tried() { return site.daemons[1]; }
-
     // Replaces the leafs of the service that does not gather.
     void start_endless_leafs()
     {
@@ -259,44 +247,7 @@
                                         "noise-" + std::to_string(leafs.size()),
                                     entry.dump());
         }
-        wait([&] { return !site.leafs.empty(); }, seconds{3});
-    }
-
-    void turn()
-    {
-        run_loop(base.get(), milliseconds{5}, [] {});
-    }
-
-    template <typename Condition>
-    void wait(const Condition& each_turn, duration time)
-    {
-        const system_boot_clock clock;
-        const auto until = clock.now() + time;
-        while (clock.now() < until && each_turn()) {
-            turn();
-        }
-    }
-
-    std::string request(const std::string& line)
-    {
-        return line +
-               " HTTP/1.1\r\nHost: site.example\r\nDeadline-Ms: "
-               "2000\r\nAttempt-Id: e" +
-               std::to_string(++requests) + "\r\n\r\n";
-    }
-
-    bool is_served()
-    {
-        http_test::raw_socket caller(
-            http_test::connect_to(site.callers_address(tried())));
-        caller.send(request("GET /q/ordinary"));
-        wait(
-            [&] {
-                caller.receive();
-                return caller.received.empty() && !caller.ended;
-            },
-            seconds{5});
-        return caller.received.starts_with("HTTP/1.1 200");
+        wait_while([] { return true; }, seconds{3});
     }
 
     std::string metrics()
@@ -305,7 +256,7 @@
             http_test::connect_to(site.metrics_address(tried())));
         reader.send("GET /metrics HTTP/1.1\r\nHost: h\r\n"
                     "Connection: close\r\n\r\n");
-        wait(
+        wait_while(
             [&] {
                 reader.receive();
                 return !reader.ended;
@@ -318,7 +269,7 @@
     void call_repeatedly(const std::string& line)
     {
         std::vector<std::unique_ptr<http_test::raw_socket>> open(callers);
-        wait(
+        wait_while(
             [&] {
                 for (auto& each : open) {
                     if (each) {
@@ -326,9 +277,8 @@
                     }
                     if (!each || each->ended || !each->received.empty()) {
                         each = std::make_unique<http_test::raw_socket>(
-                            http_test::connect_to(
-                                site.callers_address(tried())));
-                        each->send(request(line));
+                            http_test::connect_to(address()));
+                        each->send(head(line) + "\r\n");
                     }
                 }
                 return true;
@@ -361,13 +311,13 @@
 BOOST_FIXTURE_TEST_CASE(an_endless_store_does_not_exhaust_platformd,
                         site_fixture)
 {
-    endpoint address = site.callers_address(tried());
-    address.port = 8310;
-    endless_server store(address, "Id", nullptr);
+    endpoint store_address = address();
+    store_address.port = 8310;
+    endless_server store(store_address, "Id", nullptr);
     BOOST_REQUIRE(store.ready());
-    store.send(platform_kinds);
+    store.send(all_kinds());
     site.signal(tried(), SIGKILL);
-    wait(
+    wait_while(
         [&] {
             site.reap();
             return tried().process > 0;
@@ -379,13 +329,14 @@
     const std::string key = "platform.address=";
     const auto value = settings.find(key) + key.size();
     settings.replace(value, settings.find('\n', value) - value,
-                     to_string(address));
+                     to_string(store_address));
     write_text(file, settings);
     site.start(tried());
-    wait([&] { return !is_served(); }, seconds{30});
+    wait_while([&] { return !is_served(); }, seconds{30});
     const memory_check memory(tried().process, platformd_mb);
-    wait([&] { return store.begun() <= platform_kinds.size(); }, seconds{60});
-    BOOST_TEST(store.begun() > platform_kinds.size());
+    wait_while([&] { return store.begun() <= all_kinds().size(); },
+               seconds{60});
+    BOOST_TEST(store.begun() > all_kinds().size());
     memory.check_peak("store");
     BOOST_TEST(is_served());
     store.send({});
@@ -439,25 +390,45 @@
     wait_until([&] { return status_of("/v1/read/noise?key=k") == 200; });
 }
 
+// A daemon waits longer after each answer that it can't use, so that each of
+// several gets some of the kinds.
 BOOST_FIXTURE_TEST_CASE(an_endless_platform_does_not_exhaust_bulrushspringd,
                         fleet_fixture)
 {
+    constexpr int several = 4;
     fleet.start_daemons();
-    endpoint address = fleet.caller_address(tried);
-    address.port = 8310;
-    endless_server platform(address, "Id", nullptr);
-    BOOST_REQUIRE(platform.ready());
-    platform.send(platform_kinds);
-    fleet.kill_daemon(tried);
-    fleet.use_platform(tried, address);
-    fleet.start_daemon(tried);
+    std::vector<std::unique_ptr<endless_server>> platforms;
+    for (int number = 1; number <= several; ++number) {
+        endpoint address = fleet.caller_address(number);
+        address.port = static_cast<std::uint16_t>(8310 + number);
+        platforms.push_back(
+            std::make_unique<endless_server>(address, "Id", nullptr));
+        BOOST_REQUIRE(platforms.back()->ready());
+        platforms.back()->send(
+            part_of_kinds(static_cast<std::size_t>(number - 1), several));
+        fleet.kill_daemon(number);
+        fleet.use_platform(number, address);
+        fleet.start_daemon(number);
+    }
     fleet.wait_for_version(1); // from the other daemons
-    const memory_check memory(fleet.daemon(tried).id(), daemon_mb);
-    wait_until([&] { return platform.begun() > platform_kinds.size(); });
-    memory.check_peak("platform");
+    std::vector<memory_check> checks;
+    for (int number = 1; number <= several; ++number) {
+        checks.emplace_back(fleet.daemon(number).id(), daemon_mb);
+    }
+    const auto kinds_of_each = all_kinds().size() / several;
+    for (const auto& each : platforms) {
+        wait_until([&] { return each->begun() > kinds_of_each; });
+    }
+    for (const auto& each : checks) {
+        each.check_peak("platform");
+    }
     BOOST_TEST(is_served());
-    platform.send({});
-    memory.check_return();
+    for (const auto& each : platforms) {
+        each->send({});
+    }
+    for (const auto& each : checks) {
+        each.check_return();
+    }
 }
 
 BOOST_FIXTURE_TEST_CASE(endless_peers_do_not_exhaust_bulrushspringd,
