--- a/libraries/gateway/answer_log.cpp
+++ b/libraries/gateway/answer_log.cpp
@@ -28,6 +28,26 @@
 
 } // namespace
 
+void log_unsuccessful_reply(exchange_step& step, const exchange& exchange,
+                            const attempt& ended, const leaf_reply& reply)
+{
+    step.context.log(make_record(
+        leaf_refused, field("request", exchange.request->id),
+        field("leaf", ended.leaf), field("status", reply.status),
+        field("not_run", reply.not_run ? 1 : 0),
+        field("after_ms", to_milliseconds(step.context.now - ended.sent_at))));
+}
+
+void log_broken_off(exchange_step& step, const exchange& exchange,
+                    const attempt& ended, const error& cause)
+{
+    step.context.log(make_record(
+        leaf_broke_off, field("request", exchange.request->id),
+        field("leaf", ended.leaf),
+        field("after_ms", to_milliseconds(step.context.now - ended.sent_at)),
+        field("cause", to_string(cause))));
+}
+
 metrics::counter counter_for(const exchange& exchange, answer_kind kind)
 {
     switch (kind) {
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -183,16 +183,6 @@
     abandon_part_attempts(step, exchange, part, false);
 }
 
-void log_unsuccessful_reply(exchange_step& step, const exchange& exchange,
-                            const attempt& ended, const leaf_reply& reply)
-{
-    step.context.log(make_record(
-        leaf_refused, field("request", exchange.request->id),
-        field("leaf", ended.leaf), field("status", reply.status),
-        field("not_run", reply.not_run ? 1 : 0),
-        field("after_ms", to_milliseconds(step.context.now - ended.sent_at))));
-}
-
 // Handles the answer to an attempt that its exchange still awaits.
 void handle_reply(exchange_step& step, attempt_id id, const attempt& ended,
                   const leaf_reply& reply)
@@ -250,12 +240,7 @@
     auto& part = exchange.parts[ended.part];
     if (ended.sent) {
         exchange.may_have_run = true;
-        step.context.log(make_record(
-            leaf_broke_off, field("request", exchange.request->id),
-            field("leaf", ended.leaf),
-            field("after_ms",
-                  to_milliseconds(step.context.now - ended.sent_at)),
-            field("cause", to_string(cause))));
+        log_broken_off(step, exchange, ended, cause);
         record_attempt_outcome(step, part, id, ended,
                                attempt_outcome::broke_off);
     } else {
