--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -174,8 +174,9 @@
     part.outstanding.push_back(id);
     // A leaf that was tried keeps its outcome until it is sent the request once
     // more: the attempt may be cancelled before.
-    if (std::none_of(part.tried.begin(), part.tried.end(),
-                     [&](const auto& each) { return each.leaf == made.leaf; })) {
+    if (std::none_of(
+            part.tried.begin(), part.tried.end(),
+            [&](const auto& each) { return each.leaf == made.leaf; })) {
         part.tried.push_back({made.leaf, attempt_outcome::pending});
     }
     if (step.pool.connections.at(raw(*connection)).open) {
