--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -239,6 +239,36 @@
     BOOST_TEST(asked.size() == 1U);
 }
 
+// A planned stop reset a connection that was established, with its request, in
+// the turn of the event loop in which the daemon stopped listening.
+BOOST_FIXTURE_TEST_CASE(finishing_accepts_connections_until_it_stops_listening,
+                        fixture)
+{
+    struct late_caller {
+        endpoint address;
+        std::unique_ptr<raw_socket> socket;
+    } late{address, nullptr};
+    // Active before `finish` sets its timer, it runs in the same turn, after
+    // the wait for input.
+    event_base_once(
+        base.get(), -1, EV_TIMEOUT,
+        [](evutil_socket_t, short, void* argument) {
+            auto& caller = *static_cast<late_caller*>(argument);
+            caller.socket =
+                std::make_unique<raw_socket>(connect_to(caller.address));
+            caller.socket->send(valid_request);
+        },
+        &late, nullptr);
+    server->finish([] {});
+    BOOST_REQUIRE(until([&] {
+        if (late.socket) {
+            late.socket->receive();
+        }
+        return asked.size() == 1 || (late.socket && late.socket->ended);
+    }));
+    BOOST_TEST(asked.size() == 1U);
+}
+
 // CONFIG: a kept connection's next request was refused by the limits that were
 // in force when the connection became idle.
 BOOST_FIXTURE_TEST_CASE(raised_limits_apply_to_open_connections, fixture)
