--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -17,6 +17,8 @@
 constexpr int times = 6;
 constexpr double apart_s = 0.05;  // between machines
 constexpr int allowed = 3;        // retries that may reach leafs
+constexpr double work_s = 0.16;   // of an ordinary request, as at taknbru-leit
+constexpr int callers = 4;        // ordinary ones at each machine
 
 // A leaf that a request for `fatal` crashes. It is back under its id with a
 // later `born`.
@@ -84,7 +86,7 @@
                 crash();
                 break;
             }
-            sleep_s(0.005);
+            sleep_s(work_s);
             const std::string body = "answer to " + request;
             if (!send_all(socket, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request +
                                       "\r\nServer-Seal: " + id_ + "." + request +
@@ -179,20 +181,28 @@
             return 2;
         }
     }
-    // Ordinary callers, one at each machine.
+    // Ordinary callers, whose requests are not to run twice either.
     std::atomic<bool> ends{false};
     std::atomic<int> sent{0};
     std::atomic<int> served{0};
+    std::atomic<int> refused{0};
+    std::vector<double> lost; // neither served nor refused: sent to a leaf that crashed
     std::vector<std::thread> threads;
-    for (const auto& each : daemons) {
-        threads.emplace_back([&, to = each.get()] {
-            caller own(to->front());
+    for (int i = 0; i < machines * callers; ++i) {
+        threads.emplace_back([&, i] {
+            caller own(daemons[static_cast<std::size_t>(i % machines)]->front());
             for (int n = 0; !ends; ++n) {
-                const auto id = to->name + "-" + std::to_string(n);
+                const auto id = "c" + std::to_string(i) + "-" + std::to_string(n);
                 const auto got = own.get("site.example", "/s/" + id, id, 4000, 4.5);
                 ++sent;
                 served += got.status == 200;
-                sleep_s(0.1);
+                refused += got.status == 503;
+                if (got.status != 200 && got.status != 503) {
+                    std::lock_guard lock(mutex);
+                    lost.push_back(now_s());
+                    out.line("ordinary request %s status=%d", id.c_str(), got.status);
+                }
+                sleep_s(0.05);
             }
         });
     }
@@ -220,15 +230,20 @@
         each.join();
     }
     int late = 0;
+    int lost_late = 0;
     if (crashes.size() >= 3) {
         std::sort(crashes.begin(), crashes.end());
         for (const double each : arrivals) {
             late += each > crashes[2] + touch_s;
         }
+        for (const double each : lost) {
+            lost_late += each > crashes[2] + touch_s;
+        }
         out.line("it crashed the third leaf at %.3f", crashes[2]);
     }
-    out.line("ordinary requests: sent=%d served=%d; the daemons run: %d", sent.load(),
-             served.load(), alive);
+    out.line("ordinary requests: sent=%d served=%d refused=%d lost=%zu, later than "
+             "stabilityWindowMs after the third crash=%d; the daemons run: %d",
+             sent.load(), served.load(), refused.load(), lost.size(), lost_late, alive);
     out.line("it reached leafs %zu times, %d times later than stabilityWindowMs after the third "
              "crash",
              arrivals.size(), late);
