--- a/libraries/gateway/attempts.cpp
+++ b/libraries/gateway/attempts.cpp
@@ -201,15 +201,21 @@
                   budget, step.state.settings.budget, step.context.now)))));
 }
 
+// Whether the part has had all attempts that its route permits.
+bool is_exhausted(const exchange& exchange, const request_part& part)
+{
+    return leaf_limit_reached(exchange, part) &&
+           std::none_of(part.tried.begin(), part.tried.end(),
+                        [&](const auto& each) {
+                            return may_retry_at(exchange, part, each);
+                        });
+}
+
 // Schedules a retry, or fails the part if no leaf can take it any more.
 void retry_later_or_fail(exchange_step& step, exchange& exchange,
                          request_part& part)
 {
-    const bool repeatable = std::any_of(
-        part.tried.begin(), part.tried.end(),
-        [&](const auto& each) { return may_retry_at(exchange, part, each); });
-    if ((leaf_limit_reached(exchange, part) && !repeatable) ||
-        is_unavailable(step, exchange, part)) {
+    if (is_exhausted(exchange, part) || is_unavailable(step, exchange, part)) {
         fail_part(exchange, part);
         return;
     }
@@ -238,15 +244,15 @@
 void send_part(exchange_step& step, exchange& exchange, request_part& part,
                std::string_view why)
 {
+    if (!may_retry(exchange, part) || is_exhausted(exchange, part)) {
+        fail_part(exchange, part);
+        return;
+    }
     const auto held = held_until(step, exchange);
     if (held > step.context.now) {
         part.next_action_at = held;
         return;
     }
-    if (!may_retry(exchange, part)) {
-        fail_part(exchange, part);
-        return;
-    }
     if (waits_for_turn(step, exchange, part)) {
         return;
     }
--- a/libraries/gateway/crash_watch.cpp
+++ b/libraries/gateway/crash_watch.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "libraries/gateway/answers.hpp"
 #include "libraries/gateway/attempts.hpp"
+#include "libraries/gateway/crash_trials.hpp"
 #include "libraries/gateway/events.hpp"
 #include "libraries/gateway/leaf_connections.hpp"
 
@@ -253,6 +254,7 @@
                state.settings.watch_time;
     });
     poison::expire(state.poison, step.context.now);
+    poison::expire(state.trials, state.poison);
 }
 
 boot_time next_crash_review(const exchanges_state& self)
@@ -281,14 +283,16 @@
     const bool outstanding =
         std::any_of(of.parts.begin(), of.parts.end(),
                     [](const auto& each) { return !each.outstanding.empty(); });
-    return outstanding && is_suspect(step, of)
-               ? now + step.state.settings.retry_delay
-               : boot_time::min();
+    if (outstanding && is_suspect(step, of)) {
+        return now + step.state.settings.retry_delay;
+    }
+    return lacks_permission(step, of) ? want_permission(step, of)
+                                      : boot_time::min();
 }
 
 bool may_transmit(exchange_step& step, exchange& of, const attempt& unsent)
 {
-    if (step.context.now < of.held_until) {
+    if (step.context.now < of.held_until || lacks_permission(step, of)) {
         return false;
     }
     if (!is_suspect(step, of)) {
@@ -310,6 +314,8 @@
         sent.suspect = true;
         ++leaf->suspects;
     }
+    sent.trial = std::exchange(of.trial, trial_phase::none) ==
+                 trial_phase::permitted; // for one attempt
 }
 
 std::vector<std::string> leafs_with_suspects(const leaf_pool& pool,
--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -125,6 +125,14 @@
     "to other daemons. With partitioned=0 there has been contact again for "
     "hold_down_ms, and callers return."};
 
+inline constexpr event_definition trial_decided{
+    8025, severity::warning, "trial_decided",
+    "request host target arbiter permitted",
+    "A request that has crashed several leafs at about the same moment is to "
+    "be sent to another one, which tells whether it is poison. With "
+    "permitted=0 it is refused: another daemon is trying it, or `arbiter`, "
+    "which decides, does not answer."};
+
 inline constexpr std::array all_events = {
     &gateway_started,  &table_in_force,      &stop_begun,
     &stop_done,        &request_refused,     &request_answered,
@@ -134,6 +142,7 @@
     &load_changed,     &leaf_states_leaving, &leaf_paused,
     &part_unavailable, &leaf_crash_checked,  &request_poisonous,
     &leaf_rate_stated, &path_suspected,      &path_changed,
+    &trial_decided,
 };
 
 } // namespace bulrushspring::gateway
--- a/libraries/gateway/exchange.cpp
+++ b/libraries/gateway/exchange.cpp
@@ -5,6 +5,7 @@
 #include "libraries/gateway/attempts.hpp"
 #include "libraries/gateway/availability.hpp"
 #include "libraries/gateway/cold_leafs.hpp"
+#include "libraries/gateway/crash_trials.hpp"
 #include "libraries/gateway/crash_watch.hpp"
 #include "libraries/gateway/deadlines.hpp"
 #include "libraries/gateway/events.hpp"
@@ -36,6 +37,7 @@
                            : metrics::histogram::request_latency,
         step.context.now - exchange.started_at});
     leave_queue(step, exchange);
+    return_permission(step, exchange);
     abandon_attempts(step, exchange, false);
     const auto token = exchange.token;
     const bool repeatable =
@@ -117,6 +119,10 @@
         finish(step, exchange, poison_answer(step, exchange));
         return;
     }
+    if (exchange.trial == trial_phase::refused) {
+        finish(step, exchange, refused_trial_answer(step, exchange));
+        return;
+    }
     if (step.context.now < exchange.answer_by && admit(step, exchange)) {
         for (auto& part : exchange.parts) {
             if (part.phase == part_phase::open) {
@@ -198,6 +204,10 @@
         finish_if_decided(step, exchange); // the other parts are unaffected
         return;
     }
+    if (ended.trial && (outcome == attempt_outcome::refused ||
+                        outcome == attempt_outcome::misdirected)) {
+        exchange.trial = trial_phase::permitted; // it was not run
+    }
     log_unsuccessful_reply(step, exchange, ended, reply);
     record_attempt_outcome(step, part, id, ended, outcome);
     if (outcome == attempt_outcome::expired) {
@@ -354,6 +364,7 @@
         field("route", exchange.route->name),
         field("ms", to_milliseconds(step.context.now - exchange.started_at))));
     leave_queue(step, exchange);
+    return_permission(step, exchange);
     abandon_attempts(step, exchange, true);
     step.state.exchanges.erase(found);
     resume(step);
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -6,7 +6,7 @@
 #include "libraries/limits/latency_histogram.hpp"
 #include "libraries/limits/window_budget.hpp"
 #include "libraries/overload/queue.hpp"
-#include "libraries/poison/poison.hpp"
+#include "libraries/poison/trials.hpp"
 
 #include <queue>
 #include <set>
@@ -73,6 +73,7 @@
     // Limits on the leafs watched at a time, and on the requests of one.
     std::size_t max_watched_leafs = 256;
     std::size_t max_interrupted = 64;
+    poison::trial_options trials;
     limits::window_limits budget; // of extra attempts, for each service
     // Requests with one part that find no leaf wait in a queue of their
     // service instead of selecting again every retry_delay.
@@ -103,6 +104,10 @@
     leaf_reply reply;
 };
 
+// Whether the exchange of a suspect may make its next attempt; see
+// libraries/poison/trials.hpp.
+enum class trial_phase : std::uint8_t { none, wanted, permitted, refused };
+
 struct exchange {
     caller_token token{};
     request_pointer request;
@@ -136,6 +141,7 @@
     std::optional<poison::fingerprint> fingerprint; // once it was needed
     // No further attempt is made before: a leaf that ended is being checked.
     boot_time held_until = boot_time::min();
+    trial_phase trial = trial_phase::none; // of the next attempt
 };
 
 // One request that is sent to one leaf.
@@ -156,6 +162,7 @@
     std::string route;
     request_pointer request;
     bool suspect = false; // counted in leaf_state::suspects
+    bool trial = false;   // sent with the permission of its arbiter
 };
 
 // An attempt whose leaf may have crashed.
@@ -178,6 +185,12 @@
     std::vector<interrupted_attempt> interrupted;
 };
 
+// A request to an arbiter that has not been answered yet.
+struct asked_trial {
+    caller_token token{};
+    std::string arbiter;
+};
+
 // Latencies of a route's leafs, kept when the routing table changes.
 struct route_statistics {
     limits::latency_histogram latencies;
@@ -210,6 +223,10 @@
     boot_time sweep_at{}; // next check for overdue abandoned attempts
     poison::state poison;
     std::vector<poison::fingerprint> to_share; // news for other daemons
+    poison::trials trials;
+    std::vector<caller_token> trials_wanted; // to be asked for
+    std::vector<poison::fingerprint> trials_unused; // to be reported
+    std::map<exchange_id, asked_trial> trials_asked;
     std::map<std::string, leaf_watch> watches; // by leaf
     boot_time watches_reviewed_at{};           // the next time
     // Exchanges that wait no longer, by the end of the current step.
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "libraries/gateway/gateway.hpp"
 
+#include "libraries/gateway/crash_trials.hpp"
 #include "libraries/gateway/events.hpp"
 #include "libraries/gateway/fleet.hpp"
 #include "libraries/gateway/leaf_evacuation.hpp"
@@ -281,6 +282,29 @@
     gateway::finish_poison(exchanges);
 }
 
+// Merges what a peer's message says of a request that crashes leafs.
+void learn_crashes(state& self, std::span<const wire::crash_report> reports,
+                   std::string_view source, context& context)
+{
+    poison::receive(self.spread, self.exchanges.poison, reports, source,
+                    context.shared);
+    finish_poison(self, context);
+}
+
+// Asks the arbiters of suspects whether these may be sent to a leaf.
+void ask_arbiters(state& self, context& context)
+{
+    // An arbiter that permits at once lets an exchange go on, which may want
+    // another permission.
+    while (!self.exchanges.trials_wanted.empty() ||
+           !self.exchanges.trials_unused.empty()) {
+        auto exchanges = make_step(self, context);
+        gateway::ask_arbiters(exchanges,
+                              membership::view_of(self.members).members);
+        resume_waiting(exchanges);
+    }
+}
+
 // Queues for other daemons what the exchanges have learned of crashes.
 void share_crashes(state& self, boot_time now)
 {
@@ -296,9 +320,7 @@
     pass_to_topology(self, event, context);
     if (const auto* crashes =
             std::get_if<wire::crash_reports>(&event.message)) {
-        poison::receive(self.spread, self.exchanges.poison, crashes->reports,
-                        to_string(event.from), context.shared);
-        finish_poison(self, context);
+        learn_crashes(self, crashes->reports, to_string(event.from), context);
     } else if (const auto* stated =
                    std::get_if<wire::leaf_rates>(&event.message)) {
         receive(self.pool, stated->rates, context);
@@ -316,6 +338,11 @@
                    event.request)) {
         auto exchanges = make_step(self, context);
         reply_to_contact_request(self.reachability, exchanges, event.token);
+    } else if (const auto* trial =
+                   std::get_if<wire::crash_trial_request>(&event.request)) {
+        learn_crashes(self, {&trial->known, 1}, "trial", context);
+        auto exchanges = make_step(self, context);
+        reply_to_trial_request(exchanges, event.token, *trial);
     }
 }
 
@@ -327,7 +354,15 @@
                          membership::view_of(self.members).members.size(),
                          context.shared);
     finish_poison(self, context);
+    if (event.reply) {
+        if (const auto* trial =
+                std::get_if<wire::crash_trial_reply>(&event.reply.value())) {
+            learn_crashes(self, {&trial->known, 1}, "trial", context);
+        }
+    }
     auto exchanges = make_step(self, context);
+    handle_trial_reply(exchanges, event);
+    resume_waiting(exchanges);
     if (handle_contact_reply(self.reachability, exchanges, event)) {
         apply_reachability(self, context);
     }
@@ -423,6 +458,7 @@
     }
     std::visit([&](const auto& concrete) { step(self, concrete, context); },
                what);
+    ask_arbiters(self, context);
     share_crashes(self, context.now);
     finish_stop_if_due(self, context);
 }
--- a/libraries/poison/poison.cpp
+++ b/libraries/poison/poison.cpp
@@ -19,15 +19,17 @@
     return found == self.records.end() ? nullptr : &found->second;
 }
 
-// Makes room for another record: erases the one with the fewest crashes, and of
-// these the one not seen for longest.
+// Makes room for another record: erases the one with the fewest crashes one
+// after the other, of these with the fewest leafs, and of these the one not
+// seen for longest.
 void evict_one(state& self)
 {
     const auto least = std::min_element(
         self.records.begin(), self.records.end(),
         [](const auto& one, const auto& other) {
             const auto rank = [](const record& of) {
-                return std::pair{consecutive_crashes(of), of.seen_at};
+                return std::tuple{consecutive_crashes(of), of.crashes.size(),
+                                  of.seen_at};
             };
             return rank(one.second) < rank(other.second);
         });
--- a/libraries/shell/peer_streams.cpp
+++ b/libraries/shell/peer_streams.cpp
@@ -49,7 +49,8 @@
 bool is_bulk(const wire::peer_reply& reply)
 {
     return !std::holds_alternative<wire::leaf_contact_reply>(reply) &&
-           !std::holds_alternative<wire::crash_reports_reply>(reply);
+           !std::holds_alternative<wire::crash_reports_reply>(reply) &&
+           !std::holds_alternative<wire::crash_trial_reply>(reply);
 }
 
 bool write_frame(bufferevent* buffer, const result<std::string>& frame)
--- a/libraries/wire/frame.cpp
+++ b/libraries/wire/frame.cpp
@@ -101,6 +101,18 @@
             bounded_list<published_record>{reply.records, max_records});
 }
 
+template <typename Archive>
+void serialize(Archive& archive, crash_trial_request& request)
+{
+    archive(request.known, request.withdrawn);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, crash_trial_reply& reply)
+{
+    archive(reply.permitted, reply.known);
+}
+
 // Fields that were appended to messages. Daemons that don't know them ignore
 // them, and don't send them.
 template <typename Archive>
--- a/libraries/wire/message.hpp
+++ b/libraries/wire/message.hpp
@@ -267,13 +267,29 @@
     std::vector<published_record> records;
 };
 
+// Sent over TCP. Asks whether a request that has crashed several leafs may be
+// sent to another one, with what the sender knows of it.
+struct crash_trial_request {
+    crash_report known;
+    // The sender has not made the trial that it was permitted, and asks for
+    // none.
+    bool withdrawn = false;
+};
+
+// `known` is what the sender knows of the request.
+struct crash_trial_reply {
+    bool permitted = false;
+    crash_report known;
+};
+
 // Only ever extended at their ends: a daemon refuses messages it doesn't know.
-using peer_request = std::variant<documents_request, members_request,
-                                  records_request, crash_reports_request,
-                                  leaf_contact_request, record_changes_request>;
-using peer_reply =
-    std::variant<documents_reply, members_reply, records_reply,
-                 crash_reports_reply, leaf_contact_reply, record_changes_reply>;
+using peer_request =
+    std::variant<documents_request, members_request, records_request,
+                 crash_reports_request, leaf_contact_request,
+                 record_changes_request, crash_trial_request>;
+using peer_reply = std::variant<documents_reply, members_reply, records_reply,
+                                crash_reports_reply, leaf_contact_reply,
+                                record_changes_reply, crash_trial_reply>;
 
 } // namespace bulrushspring::wire
 
--- a/tests/gateway/crashing_fixture.hpp
+++ b/tests/gateway/crashing_fixture.hpp
@@ -16,6 +16,10 @@
     std::vector<send_to_leaf> running; // sent and not answered
     std::vector<answer_request> answers;
     std::size_t poisoned = 0; // leafs that got the poison request
+    // The other daemon, as the arbiter of some requests.
+    poison::state known_to_arbiter;
+    poison::trials permitted_by_arbiter;
+    bool arbiter_answers = true;
 
     static bool is_poison(const send_to_leaf& sent)
     {
@@ -95,12 +99,48 @@
         }
     }
 
+    void answer_trials()
+    {
+        if (!arbiter_answers) {
+            return;
+        }
+        std::vector<send_peer_request> requests;
+        std::erase_if(shared, [&](const auto& each) {
+            const auto* sent = std::get_if<send_peer_request>(&each);
+            const bool asks = sent != nullptr &&
+                              std::holds_alternative<wire::crash_trial_request>(
+                                  sent->request);
+            if (asks) {
+                requests.push_back(*sent);
+            }
+            return asks;
+        });
+        for (const auto& each : requests) {
+            const auto& known =
+                std::get<wire::crash_trial_request>(each.request).known;
+            poison::merge(known_to_arbiter, known, clock.now());
+            if (std::get<wire::crash_trial_request>(each.request).withdrawn) {
+                poison::withdraw_trial(permitted_by_arbiter,
+                                       poison::fingerprint{known.fingerprint});
+                continue;
+            }
+            const bool permitted = poison::permit_trial(
+                settings.exchanges.trials, permitted_by_arbiter,
+                known_to_arbiter, poison::fingerprint{known.fingerprint},
+                clock.now());
+            feed(peer_reply_received{
+                each.exchange,
+                wire::peer_reply{wire::crash_trial_reply{permitted, known}}});
+        }
+    }
+
     // Lets leafs, connections and timers run for this long. Requests are
     // answered after some milliseconds.
     void settle(duration span)
     {
         for (duration left = span; left > duration{0};
              left -= milliseconds{5}) {
+            answer_trials();
             answer_opens();
             run_leafs();
             advance(milliseconds{5});
--- a/tests/gateway/poison_test.cpp
+++ b/tests/gateway/poison_test.cpp
@@ -163,6 +163,135 @@
     BOOST_TEST((only_answer().kind == answer_kind::not_run));
 }
 
+namespace
+{
+
+// A target whose arbiter is this daemon (entry-1) or the other one.
+std::string target_judged_by(crashing_fixture& of, std::string_view arbiter)
+{
+    const auto& live = membership::view_of(of.state.members).members;
+    for (int i = 0;; ++i) {
+        exchange asked;
+        auto request = std::make_shared<forward_request>();
+        request->method = "GET";
+        request->host = "h";
+        request->target = "/s/" + std::to_string(i) + "/poison";
+        asked.request = request;
+        if (poison::arbiter_of(fingerprint_of(asked), live).name == arbiter) {
+            return request->target;
+        }
+    }
+}
+
+// Sends the request three times at one moment, which crashes three leafs, and
+// lets them return.
+void crash_three_leafs(crashing_fixture& of, const std::string& target)
+{
+    of.make_single_route(false, 8);
+    for (int i = 0; i < 3; ++i) {
+        of.send_request(target);
+    }
+    of.settle(milliseconds{200});
+    BOOST_REQUIRE_EQUAL(of.poisoned, 3U);
+    replace_crashed(of);
+    of.settle(seconds{3});
+    of.answers.clear();
+    of.shared.clear();
+}
+
+std::vector<exchange_id> asked_trials(crashing_fixture& of)
+{
+    std::vector<exchange_id> asked;
+    for (const auto& each : std::exchange(of.shared, {})) {
+        const auto* sent = std::get_if<send_peer_request>(&each);
+        if (sent != nullptr &&
+            std::holds_alternative<wire::crash_trial_request>(sent->request)) {
+            asked.push_back(sent->exchange);
+        }
+    }
+    return asked;
+}
+
+} // namespace
+
+// BUDGET: a request that had crashed several leafs at one moment reached as
+// many again each time that it came.
+BOOST_FIXTURE_TEST_CASE(the_arbiter_tries_a_suspect_at_one_leaf_at_a_time,
+                        crashing_fixture)
+{
+    const auto target = target_judged_by(*this, "entry-1");
+    crash_three_leafs(*this, target);
+    for (int round = 0; round < 4; ++round) {
+        for (int i = 0; i < 3; ++i) {
+            send_request(target);
+        }
+        settle(milliseconds{500});
+    }
+    BOOST_TEST(poisoned == 3U + 2U);
+    BOOST_TEST(answers.size() == 12U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_suspect_waits_for_the_permission_of_its_arbiter,
+                        crashing_fixture)
+{
+    arbiter_answers = false;
+    const auto target = target_judged_by(*this, "entry-2");
+    crash_three_leafs(*this, target);
+    for (int i = 0; i < 3; ++i) {
+        send_request(target);
+    }
+    settle(milliseconds{20});
+    BOOST_TEST(poisoned == 3U);
+    const auto asked = asked_trials(*this);
+    BOOST_REQUIRE_EQUAL(asked.size(), 3U);
+    feed(peer_reply_received{
+        asked[0], wire::peer_reply{wire::crash_trial_reply{false, {}}}});
+    feed(peer_reply_received{asked[1], error{errc::timed_out, "ask", "", ""}});
+    settle(milliseconds{20});
+    BOOST_TEST(poisoned == 3U);
+    BOOST_REQUIRE_EQUAL(answers.size(), 2U);
+    for (const auto& each : answers) {
+        BOOST_TEST((each.answer.kind == answer_kind::not_run));
+        BOOST_TEST(
+            (each.answer.retry_after == settings.exchanges.trials.retry_after));
+    }
+    feed(peer_reply_received{
+        asked[2], wire::peer_reply{wire::crash_trial_reply{true, {}}}});
+    settle(milliseconds{500});
+    BOOST_TEST(poisoned == 4U);
+}
+
+// Leafs that crash at one moment may have another cause in common.
+BOOST_FIXTURE_TEST_CASE(an_innocent_suspect_is_served_again_after_one_trial,
+                        crashing_fixture)
+{
+    make_single_route(false, 8);
+    for (int i = 0; i < 3; ++i) {
+        send_request("/s/innocent");
+    }
+    answer_opens();
+    run_leafs();
+    const auto on_leafs = running;
+    for (const auto& each : on_leafs) {
+        crash(each.leaf);
+    }
+    settle(milliseconds{200});
+    replace_crashed(*this);
+    settle(seconds{3});
+    BOOST_REQUIRE_EQUAL(state.exchanges.poison.records.size(), 1U);
+    answers.clear();
+    send_request("/s/innocent");
+    settle(milliseconds{20});
+    for (int i = 0; i < 3; ++i) {
+        send_request("/s/innocent");
+    }
+    settle(milliseconds{50});
+    BOOST_REQUIRE_EQUAL(answers.size(), 4U);
+    for (const auto& each : answers) {
+        BOOST_TEST((each.answer.kind == answer_kind::relayed));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(a_reset_connection_to_a_living_leaf_is_no_crash,
                         crashing_fixture)
 {
--- a/tests/poison/table_test.cpp
+++ b/tests/poison/table_test.cpp
@@ -123,6 +123,19 @@
     BOOST_TEST(table.records.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_full_table_keeps_what_has_crashed_several_leafs)
+{
+    state table;
+    table.settings.max_records = 10;
+    for (std::uint64_t process = 1; process <= 5; ++process) {
+        add_crash(table, bad, crash_of(process, 0, 10), at(10));
+    }
+    for (std::uint64_t other = 2; other < 100; ++other) {
+        add_crash(table, fingerprint{other}, crash_of(9, 50, 60), at(60));
+    }
+    BOOST_TEST(is_suspect(table, bad));
+}
+
 BOOST_AUTO_TEST_CASE(a_report_of_a_request_that_was_never_seen_adds_nothing)
 {
     state table;
--- a/tests/soak/poison_test.cpp
+++ b/tests/soak/poison_test.cpp
@@ -91,6 +91,18 @@
     }
 };
 
+void check_late_crashes(const crashing_site& running)
+{
+    BOOST_REQUIRE(running.crashes.size() >= 3U);
+    const auto late = std::count_if(
+        running.crashes.begin(), running.crashes.end(), [&](boot_time at) {
+            return at > running.crashes[2] + stability_window;
+        });
+    BOOST_TEST_MESSAGE(running.crashes.size()
+                       << " crashes, " << late << " of them late");
+    BOOST_TEST(static_cast<std::size_t>(late) <= max_late_crashes);
+}
+
 // Sends the poison and an innocent request of the same route to daemons in
 // turn, and checks how many leafs it crashes and that others are served.
 void check_poison(const std::string& prefix, std::size_t crashes_at_once,
@@ -114,14 +126,7 @@
         }
     }
     running.run_for(seconds{2});
-    BOOST_REQUIRE(running.crashes.size() >= 3U);
-    const auto late = std::count_if(
-        running.crashes.begin(), running.crashes.end(), [&](boot_time at) {
-            return at > running.crashes[2] + stability_window;
-        });
-    BOOST_TEST_MESSAGE(running.crashes.size()
-                       << " crashes, " << late << " of them late");
-    BOOST_TEST(static_cast<std::size_t>(late) <= max_late_crashes);
+    check_late_crashes(running);
     BOOST_TEST(running.crashes.size() <= crashes_at_once + 4);
     std::size_t refused = 0;
     std::size_t served = 0;
@@ -150,6 +155,27 @@
     check_poison("/q/", 8, 1, 4, 4);
 }
 
+// BUDGET: review/10. The request came at all daemons at one moment, so that the
+// leafs that it crashed each time counted once.
+BOOST_AUTO_TEST_CASE(a_request_that_comes_at_all_daemons_at_once_is_refused)
+{
+    const std::string poison = "/u/poison";
+    auto options = test::make_site_options("poison");
+    options.daemons = 5;
+    options.shards = 1;
+    options.leafs = 12;
+    crashing_site running(options, poison);
+    running.run_for(seconds{3});
+    constexpr int rounds = 3;
+    for (int round = 0; round < rounds; ++round) {
+        for (std::size_t i = 0; i < options.daemons; ++i) {
+            running.ask(i, poison);
+        }
+        running.run_for(stability_window + milliseconds{200});
+    }
+    check_late_crashes(running);
+}
+
 BOOST_AUTO_TEST_CASE(
     a_query_that_crashes_leafs_under_load_is_refused_by_all_daemons)
 {
--- a/tests/wire/frame_test.cpp
+++ b/tests/wire/frame_test.cpp
@@ -19,6 +19,10 @@
     if (*rc::gen::inRange(0, 4) == 0) {
         return wire::leaf_contact_request{};
     }
+    if (*rc::gen::inRange(0, 4) == 0) {
+        return wire::crash_trial_request{any_report(),
+                                         *rc::gen::arbitrary<bool>()};
+    }
     if (*rc::gen::inRange(0, 4) == 0) {
         return wire::record_changes_request{
             *rc::gen::arbitrary<std::uint32_t>(),
@@ -44,6 +48,10 @@
 
 wire::peer_reply any_reply()
 {
+    if (*rc::gen::inRange(0, 4) == 0) {
+        return wire::crash_trial_reply{*rc::gen::arbitrary<bool>(),
+                                       any_report()};
+    }
     if (*rc::gen::inRange(0, 3) == 0) {
         return wire::crash_reports_reply{any_reports(5)};
     }
--- a/tests/wire/generators.hpp
+++ b/tests/wire/generators.hpp
@@ -75,17 +75,24 @@
     return message;
 }
 
-inline std::vector<wire::crash_report> any_reports(std::size_t max_count)
+inline wire::crash_report any_report()
 {
     const auto any_age = rc::gen::arbitrary<std::uint32_t>();
+    wire::crash_report report{
+        *rc::gen::arbitrary<std::uint64_t>(), *any_age, *any_age, {}};
+    report.crashes.resize(*rc::gen::inRange<std::size_t>(0, 9));
+    for (auto& crash : report.crashes) {
+        crash = {*rc::gen::arbitrary<std::uint64_t>(), *any_age, *any_age};
+    }
+    return report;
+}
+
+inline std::vector<wire::crash_report> any_reports(std::size_t max_count)
+{
     std::vector<wire::crash_report> reports(
         *rc::gen::inRange<std::size_t>(0, max_count + 1));
     for (auto& report : reports) {
-        report = {*rc::gen::arbitrary<std::uint64_t>(), *any_age, *any_age, {}};
-        report.crashes.resize(*rc::gen::inRange<std::size_t>(0, 9));
-        for (auto& crash : report.crashes) {
-            crash = {*rc::gen::arbitrary<std::uint64_t>(), *any_age, *any_age};
-        }
+        report = any_report();
     }
     return reports;
 }
