--- a/fakes/site/site.cpp
+++ b/fakes/site/site.cpp
@@ -48,9 +48,9 @@
            placed.server->options().id;
 }
 
-std::string data_centre_of(std::size_t number)
+std::string data_centre_of(std::size_t number, const site_options& options)
 {
-    return "dc-" + std::to_string(number % 3);
+    return "dc-" + std::to_string(number % options.data_centres);
 }
 
 } // namespace
@@ -73,7 +73,7 @@
     for (std::size_t i = 0; i < options_.daemons; ++i) {
         auto& created = daemons.emplace_back();
         created.name = "entry-" + std::to_string(i);
-        created.data_centre = data_centre_of(i);
+        created.data_centre = data_centre_of(i, options_);
         created.program = options_.second_program.empty() || i % 2 == 0
                               ? options_.program
                               : options_.second_program;
@@ -106,7 +106,7 @@
         settings.id = "i-" + std::to_string(++leaf_count_);
         settings.service = service;
         settings.address = server;
-        settings.data_centre = data_centre_of(i);
+        settings.data_centre = data_centre_of(i, options_);
         settings.work = work;
         settings.cold_per_second = options_.cold_per_second;
         created.server = std::make_unique<leaf>(base_, settings, runs,
--- a/fakes/site/site.hpp
+++ b/fakes/site/site.hpp
@@ -19,6 +19,7 @@
     std::size_t daemons = 4;
     std::size_t shards = 4;
     std::size_t leafs = 3; // of each service
+    std::size_t data_centres = 3;
     std::uint64_t seed = 1;
     // The services' `coldPerS`; 0: not in the configuration, and the soak
     // restarts no leafs.
--- a/libraries/gateway/events.hpp
+++ b/libraries/gateway/events.hpp
@@ -133,6 +133,12 @@
     "permitted=0 it is refused: another daemon is trying it, or `arbiter`, "
     "which decides, does not answer."};
 
+inline constexpr event_definition readers_lost{
+    8026, severity::warning, "readers_lost", "readers answer",
+    "None of the `readers` daemons that read the store for this data centre "
+    "works. With answer=1 some answer, but don't reach the store. This daemon "
+    "reads the store itself, or leaves it to others that do."};
+
 inline constexpr std::array all_events = {
     &gateway_started,  &table_in_force,      &stop_begun,
     &stop_done,        &request_refused,     &request_answered,
@@ -142,7 +148,7 @@
     &load_changed,     &leaf_states_leaving, &leaf_paused,
     &part_unavailable, &leaf_crash_checked,  &request_poisonous,
     &leaf_rate_stated, &path_suspected,      &path_changed,
-    &trial_decided,
+    &trial_decided,    &readers_lost,
 };
 
 } // namespace bulrushspring::gateway
--- a/libraries/gateway/fleet.cpp
+++ b/libraries/gateway/fleet.cpp
@@ -1,6 +1,5 @@
 #include "libraries/gateway/fleet.hpp"
 
-#include "libraries/configuration/readers.hpp"
 #include "libraries/gateway/leaf_rates.hpp"
 
 #include <algorithm>
@@ -13,12 +12,38 @@
 constexpr milliseconds store_role_interval{200};
 constexpr milliseconds rate_share_interval{500};
 
+configuration::peers fleet_of(const state& self)
+{
+    return {membership::view_of(self.members).members,
+            membership::self_of(self.members)};
+}
+
+// Whether this daemon reads the store because those that should don't. If they
+// answer but don't reach the store, this may hold for all daemons, so that only
+// as many others try.
+bool replaces_readers(const state& self)
+{
+    switch (self.reader_check.readers) {
+    case reader_state::working:
+        return false;
+    case reader_state::silent:
+        return true;
+    case reader_state::without_store:
+        return configuration::select_readers(fleet_of(self),
+                                             2 * self.settings.readers)
+            .reading;
+    }
+    return false;
+}
+
 // Determines this daemon's role in reading the store. A daemon without any
 // records lists the store at once, independently of other readers. One that
 // has heard of no peer for a while, or learns no routes from its peers, reads
 // the store itself. Differing views of the fleet only cause additional
 // readers.
-topology::store_role store_role_of(const state& self, boot_time now)
+topology::store_role
+store_role_of(const state& self, const configuration::reader_selection& review,
+              boot_time now)
 {
     const bool knows_routes = self.topology.table != nullptr;
     const bool awaiting_peers = now - self.started < self.settings.peer_timeout;
@@ -29,10 +54,9 @@
         return awaiting_peers ? topology::store_role::none
                               : topology::store_role::leader;
     }
-    const configuration::peers fleet{membership::view_of(self.members).members,
-                                     membership::self_of(self.members)};
-    const auto review =
-        configuration::select_readers(fleet, self.settings.readers);
+    if (!review.reading && replaces_readers(self)) {
+        return topology::store_role::leader;
+    }
     if (!review.reading && knows_routes &&
         !topology::peers_deliver(self.topology, now)) {
         return topology::store_role::follower;
@@ -41,7 +65,7 @@
         return knows_routes || awaiting_peers ? topology::store_role::none
                                               : topology::store_role::leader;
     }
-    return review.readers.front() == fleet.self.name
+    return review.readers.front() == membership::self_of(self.members).name
                ? topology::store_role::leader
                : topology::store_role::follower;
 }
@@ -69,13 +93,18 @@
 
 } // namespace
 
-void update_store_role(state& self, boot_time now)
+void update_store_role(state& self, bulrushspring::context& context)
 {
+    const auto now = context.now;
     if (now < self.store_role_due_at) {
         return;
     }
-    self.store_role_due_at = now + store_role_interval;
-    topology::set_role(self.topology, store_role_of(self, now), now);
+    const auto review =
+        configuration::select_readers(fleet_of(self), self.settings.readers);
+    review_readers(self.reader_check, self.members, review, context);
+    topology::set_role(self.topology, store_role_of(self, review, now), now);
+    self.store_role_due_at =
+        std::min(now + store_role_interval, self.reader_check.due);
 }
 
 void update_fleet_summary(state& self, boot_time now)
--- a/libraries/gateway/fleet.hpp
+++ b/libraries/gateway/fleet.hpp
@@ -9,7 +9,7 @@
 {
 
 // Decides, if due, which role this daemon has in reading the store.
-void update_store_role(state&, boot_time now);
+void update_store_role(state&, bulrushspring::context&);
 
 // Updates the counts of the fleet, which never decrease: a daemon that is
 // not heard of may still hold connections and spend its share of the budget.
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -137,7 +137,7 @@
 void step(state& self, const tick& event, context& context)
 {
     membership::reduce(self.members, event, context.shared);
-    update_store_role(self, context.now);
+    update_store_role(self, context.shared);
     pass_to_topology(self, event, context);
     update_fleet_summary(self, context.now);
     update_serving_set_if_due(self, context.now);
@@ -318,6 +318,12 @@
 {
     membership::reduce(self.members, event, context.shared);
     pass_to_topology(self, event, context);
+    if (const auto* ack = std::get_if<wire::ack>(&event.message)) {
+        note_ack(self.reader_check, ack->sequence,
+                 topology::from_wire(ack->in_force).reads_store, context.now);
+        self.store_role_due_at =
+            std::min(self.store_role_due_at, self.reader_check.due);
+    }
     if (const auto* crashes =
             std::get_if<wire::crash_reports>(&event.message)) {
         learn_crashes(self, crashes->reports, to_string(event.from), context);
@@ -376,6 +382,7 @@
     self.topology.settings = settings.topology;
     self.load.settings = settings.load;
     self.reachability.settings = settings.reachability;
+    self.reader_check.settings = settings.reader_check;
     self.rates.sender.settings = settings.rates;
     self.spread.settings = settings.spread;
     self.spread.sender.settings = settings.spread.gossip;
@@ -441,6 +448,8 @@
         settings.rates, self.incarnation + 6, now);
     made.reachability =
         make_reachability(settings.reachability, self.incarnation + 5, now);
+    made.reader_check.settings = settings.reader_check;
+    made.reader_check.random.seed(self.incarnation + 7);
     made.spread =
         poison::make_spread(settings.spread, self.incarnation + 4, now);
     return made;
--- a/libraries/gateway/gateway.hpp
+++ b/libraries/gateway/gateway.hpp
@@ -6,6 +6,7 @@
 #include "libraries/gateway/load.hpp"
 #include "libraries/gateway/rate_spread.hpp"
 #include "libraries/gateway/reachability.hpp"
+#include "libraries/gateway/reader_check.hpp"
 #include "libraries/gateway/serving_set.hpp"
 #include "libraries/membership/membership.hpp"
 #include "libraries/poison/spread.hpp"
@@ -26,6 +27,7 @@
     entry_options entries;
     load_options load;
     reachability_options reachability;
+    reader_check_options reader_check;
     membership::gossip_options rates; // gossip of what leafs state
     poison::spread_options spread;
     // Processor share of this VM, in thousandths of a core; 0: unknown.
@@ -81,6 +83,7 @@
     poison::spread_state spread; // of exchanges.poison
     load_state load;
     gateway::reachability reachability;
+    gateway::reader_check reader_check;
     rate_spread rates; // of pool
     serving_set serving;
     random_source random;
--- a/libraries/membership/membership.cpp
+++ b/libraries/membership/membership.cpp
@@ -371,6 +371,14 @@
     announce(membership, self, now);
 }
 
+std::uint64_t send_probe(state& membership, const endpoint& to,
+                         context& effects)
+{
+    const auto sequence = ++membership.last_sequence;
+    send_ping(membership, to, sequence, nullptr, effects);
+    return sequence;
+}
+
 void set_digest(state& membership, const wire::digest& in_force)
 {
     if (in_force == membership.in_force) {
--- a/libraries/membership/membership.hpp
+++ b/libraries/membership/membership.hpp
@@ -40,6 +40,10 @@
 // sends probes until the process ends.
 void reduce(state&, const stop_requested&, context&);
 
+// Pings a member besides the failure detection, which takes no notice of the
+// outcome. Returns the sequence number that the ack repeats.
+std::uint64_t send_probe(state&, const endpoint& to, context&);
+
 // Sets the digest of the documents in force, which all datagrams carry. A
 // change is sent out at once.
 void set_digest(state&, const wire::digest& in_force);
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -309,7 +309,10 @@
 wire::digest digest_of(const state& self, bool in_service)
 {
     return to_wire({basic_revision_of(self), protocol_level, self.revision,
-                    table_version_of(self), in_service});
+                    table_version_of(self), in_service,
+                    reads_store(self) &&
+                        self.last_answer_at != boot_time::min() &&
+                        self.failures == 0});
 }
 
 bool has_asked_peer(const state& self)
