--- a/libraries/http/parser.cpp
+++ b/libraries/http/parser.cpp
@@ -14,6 +14,8 @@
 // The most that is reserved for a body before any of it has arrived. A stated
 // length costs its sender nothing, so the rest is reserved as the body arrives.
 constexpr std::uint64_t max_initial_body = 16384;
+constexpr int min_status = 100;
+constexpr int max_status = 599;
 
 parse_status to_parse_status(const beast::error_code& code)
 {
@@ -109,9 +111,14 @@
     }
 
     void on_response_impl(int status, beast::string_view reason,
-                          int /*version*/, beast::error_code& /*code*/) override
+                          int /*version*/, beast::error_code& code) override
     {
         if constexpr (!IsRequest) {
+            // RFC 9110, section 15: other values are invalid.
+            if (status < min_status || status > max_status) {
+                code = beast::http::error::bad_status;
+                return;
+            }
             message.status = static_cast<unsigned>(status);
             message.reason = text_of(reason);
             text_bytes += heap_bytes(message.reason);
--- a/tests/endless/endless_server.hpp
+++ b/tests/endless/endless_server.hpp
@@ -32,8 +32,9 @@
 }
 
 // A server in a thread of its own that sends bytes without end, as fast as they
-// are read, until its peer closes. `answer` returns the proper answer to a
-// request; if it is empty, an endless one is sent.
+// are read, until its peer closes. `answer` returns the answer to a request; if
+// it is empty, an endless one is sent. One that says "Connection: close" ends
+// with its connection.
 class endless_server
 {
 public:
@@ -80,6 +81,7 @@
         std::string received;
         std::string unsent;
         std::string repeated; // empty unless an endless answer is sent
+        bool closes = false;  // once all is sent
     };
 
     void run()
@@ -102,7 +104,7 @@
             int accepted = -1;
             while ((accepted = accept4(listener_, nullptr, nullptr,
                                        SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-                peers_.push_back({accepted, "", "", ""});
+                peers_.push_back({accepted, "", "", "", false});
             }
         }
         for (auto& each : peers_) {
@@ -139,6 +141,8 @@
         const auto request = from.received.substr(0, head + 4 + length);
         from.received.erase(0, request.size());
         from.unsent += answer_ ? answer_(request) : "";
+        from.closes =
+            from.unsent.find("\r\nConnection: close\r\n") != std::string::npos;
         if (from.unsent.empty()) {
             begin(from, request);
         }
@@ -184,6 +188,9 @@
                                  MSG_NOSIGNAL | MSG_DONTWAIT);
         if (sent > 0) {
             to.unsent.erase(0, static_cast<std::size_t>(sent));
+            if (to.closes && to.unsent.empty()) {
+                end(to);
+            }
         } else if (sent < 0 && errno != EAGAIN) {
             end(to);
         }
--- a/tests/endless/endless_test.cpp
+++ b/tests/endless/endless_test.cpp
@@ -35,6 +35,31 @@
     return all;
 }
 
+// The status of an answer, and one of the ways in which it can end.
+struct stated_answer {
+    std::string status;
+    std::string ending;
+};
+
+std::vector<stated_answer> invalid_answers()
+{
+    std::vector<stated_answer> all;
+    for (const auto* status : {"000", "099", "600"}) {
+        for (const auto* ending :
+             {"Content-Length: 2\r\n\r\nok",
+              "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "\r\n",
+              "Connection: close\r\n\r\nok"}) {
+            all.push_back({status, ending});
+        }
+    }
+    return all;
+}
+
+const stated_answer proper_answer{"200", "Content-Length: 2\r\n\r\nok"};
+constexpr seconds recovery_time{10}; // until its leafs are used again
+// Far less than the callers would wait.
+constexpr milliseconds at_once{1000};
+
 // The kinds in `parts` parts, of which this is one.
 std::vector<endless_answer> part_of_kinds(std::size_t part, std::size_t parts)
 {
@@ -148,7 +173,8 @@
     system_fleet fleet{"127.",
                        "memory_mb = " + std::to_string(daemon_mb) + "\n"};
     std::vector<std::unique_ptr<endless_server>> leafs;
-    std::atomic<bool> proper{false}; // whether the leafs answer properly
+    std::atomic<bool> proper{false};     // whether the leafs answer properly
+    std::optional<stated_answer> stated; // else they answer like this
     std::mutex mutex;
     std::map<std::string, int> arrivals; // by request id
     std::atomic<int> requests{0};
@@ -164,14 +190,25 @@
         };
         const std::lock_guard lock(mutex);
         ++arrivals[header_in(request, "Bulrushspring-Request-Id")];
-        return !proper ? ""
-                       : "HTTP/1.1 200 OK\r\n" +
-                             repeated("Bulrushspring-Request-Id") +
-                             repeated("Bulrushspring-Attempt") +
-                             repeated("Bulrushspring-Shard") +
-                             "Bulrushspring-Snapshot: 1\r\n"
-                             "Bulrushspring-Run: ran\r\n"
-                             "Content-Length: 2\r\n\r\nok";
+        if (!proper && !stated) {
+            return "";
+        }
+        const auto status = proper ? "200" : stated->status;
+        const auto ending =
+            proper ? "Content-Length: 2\r\n\r\nok" : stated->ending;
+        return "HTTP/1.1 " + status + " OK\r\n" +
+               repeated("Bulrushspring-Request-Id") +
+               repeated("Bulrushspring-Attempt") +
+               repeated("Bulrushspring-Shard") +
+               "Bulrushspring-Snapshot: 1\r\n"
+               "Bulrushspring-Run: ran\r\n" +
+               ending;
+    }
+
+    void answer_with(const stated_answer& kind)
+    {
+        const std::lock_guard lock(mutex);
+        stated = kind;
     }
 
     void start_endless_leafs()
@@ -218,11 +255,46 @@
 // of one service send without end.
 struct site_fixture : served_site {
     std::vector<std::unique_ptr<endless_server>> leafs;
+    std::mutex mutex;
+    std::optional<stated_answer> stated; // what the leafs answer, if set
 
     site_fixture() : served_site("endless", 2, platformd_mb, "GET /q/ordinary")
     {
     }
 
+    std::string answer_as_leaf(const std::string& request)
+    {
+        if (request.starts_with("GET /health ")) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        }
+        const std::lock_guard lock(mutex);
+        return !stated ? ""
+                       : "HTTP/1.1 " + stated->status +
+                             " OK\r\nServer-Seal: s\r\nAttempt-Id: " +
+                             header_in(request, "Attempt-Id") + "\r\n" +
+                             stated->ending;
+    }
+
+    void answer_with(const stated_answer& kind)
+    {
+        const std::lock_guard lock(mutex);
+        stated = kind;
+    }
+
+    // The status line of the answer to a request; empty if there is none.
+    std::string answer_to(const std::string& line)
+    {
+        http_test::raw_socket caller(http_test::connect_to(address()));
+        caller.send(head(line) + "\r\n");
+        wait_while(
+            [&] {
+                caller.receive();
+                return caller.received.empty() && !caller.ended;
+            },
+            seconds{5});
+        return caller.received.substr(0, caller.received.find("\r\n"));
+    }
+
     // Replaces the leafs of the service that does not gather.
     void start_endless_leafs()
     {
@@ -233,11 +305,8 @@
             endpoint address = each.address;
             address.port = 8300;
             leafs.push_back(std::make_unique<endless_server>(
-                address, "Attempt-Id", [](const std::string& request) {
-                    return std::string(
-                        request.starts_with("GET /health ")
-                            ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-                            : "");
+                address, "Attempt-Id", [this](const std::string& request) {
+                    return answer_as_leaf(request);
                 }));
             BOOST_REQUIRE(leafs.back()->ready());
             auto entry = json::parse(each.server->published(false));
@@ -441,3 +510,68 @@
     BOOST_TEST(is_served());
     memory.check_return();
 }
+
+// MIXED: a leaf's answer of status 000 reached the caller as an answer, or let
+// it wait until its time was up.
+BOOST_FIXTURE_TEST_CASE(invalid_statuses_fail_at_once_at_platformd,
+                        site_fixture)
+{
+    start_endless_leafs();
+    const system_boot_clock clock;
+    for (const auto& kind : invalid_answers()) {
+        for (const auto* line : {"GET /s/odd", "GET /u/odd"}) {
+            answer_with(proper_answer);
+            wait_while(
+                [&] { return answer_to("GET /s/proper") != "HTTP/1.1 200 OK"; },
+                recovery_time);
+            answer_with(kind);
+            const auto sent_at = clock.now();
+            const auto answer = answer_to(line);
+            const auto waited = clock.now() - sent_at;
+            BOOST_TEST_CONTEXT(line << " " << kind.status << " " << kind.ending
+                                    << ": " << answer << " after "
+                                    << to_milliseconds(waited) << " ms")
+            {
+                BOOST_TEST(answer.starts_with("HTTP/1.1 502 "));
+                BOOST_TEST((waited < at_once));
+            }
+        }
+    }
+    BOOST_TEST(counts_unusable_answers(metrics()));
+    BOOST_TEST(is_served());
+}
+
+BOOST_FIXTURE_TEST_CASE(invalid_statuses_fail_at_once_at_bulrushspringd,
+                        fleet_fixture)
+{
+    fleet.start_daemons();
+    answer_with(proper_answer);
+    start_endless_leafs();
+    const system_boot_clock clock;
+    const auto recover = [&] {
+        answer_with(proper_answer);
+        wait_until([&] { return status_of("/v1/read/noise?key=k") == 200; });
+    };
+    int orders = 0;
+    for (const auto& kind : invalid_answers()) {
+        BOOST_TEST_CONTEXT(kind.status << " " << kind.ending)
+        {
+            recover();
+            answer_with(kind);
+            auto sent_at = clock.now();
+            BOOST_TEST(status_of("/v1/read/noise?key=k") >= 500);
+            BOOST_TEST((clock.now() - sent_at < at_once));
+            recover();
+            answer_with(kind);
+            const auto id = "odd-order-" + std::to_string(++orders);
+            sent_at = clock.now();
+            const auto& order = fleet.send_call(
+                "noisy-order", manifest::service_kind::request, id);
+            BOOST_TEST((clock.now() - sent_at < at_once));
+            // It may have run, and must not be sent again.
+            BOOST_TEST((order.answer.run == execution::unknown));
+            const std::lock_guard lock(mutex);
+            BOOST_TEST(arrivals[id] == 1);
+        }
+    }
+}
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -115,6 +115,42 @@
     }
 }
 
+// MIXED: an answer of status 000 that ended with its connection was delivered.
+// Ended in another way, it was taken for an interim answer, and the proper one
+// was awaited until the request's time was up.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_status_fails_at_once)
+{
+    constexpr milliseconds at_once{1000};
+    const std::vector<std::string> endings = {
+        "Content-Length: 2\r\n\r\nab",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        "\r\n",   // no body, and the connection stays open
+        "\r\nab", // ends with the connection
+        "Content-Length: 9\r\n\r\nab",
+    };
+    for (const auto* status : {"000", "001", "099", "600", "999"}) {
+        for (const auto& ending : endings) {
+            fixture test;
+            test.ask();
+            const system_boot_clock clock;
+            const auto sent_at = clock.now();
+            test.leaf->send("HTTP/1.1 " + std::string(status) +
+                            " Odd\r\nId: r2\r\n" + ending);
+            if (ending == endings[3]) {
+                test.leaf->close();
+            }
+            BOOST_TEST_CONTEXT(status << " " << ending)
+            {
+                BOOST_TEST(test.until([&] {
+                    return !test.closed.empty() || !test.answers.empty();
+                }));
+                BOOST_TEST((clock.now() - sent_at < at_once));
+                BOOST_TEST(test.answers.empty());
+            }
+        }
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(
     answer_without_a_length_is_completed_by_the_end_of_the_connection, fixture)
 {
