--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -224,7 +224,7 @@
     poison::state poison;
     std::vector<poison::fingerprint> to_share; // news for other daemons
     poison::trials trials;
-    std::vector<caller_token> trials_wanted; // to be asked for
+    std::vector<caller_token> trials_wanted;        // to be asked for
     std::vector<poison::fingerprint> trials_unused; // to be reported
     std::map<exchange_id, asked_trial> trials_asked;
     std::map<std::string, leaf_watch> watches; // by leaf
