--- a/libraries/gateway/crash_trials.cpp
+++ b/libraries/gateway/crash_trials.cpp
@@ -11,21 +11,28 @@
 namespace
 {
 
-void resolve(exchange_step& step, caller_token token, bool permitted,
-             std::string_view arbiter)
+// Applies the arbiter's decision to the exchange, which may have ended or may
+// not need it any more.
+void resolve(exchange_step& step, const asked_trial& asked, bool permitted)
 {
-    const auto found = step.state.exchanges.find(raw(token));
+    const auto found = step.state.exchanges.find(raw(asked.token));
     if (found == step.state.exchanges.end()) {
+        if (permitted) {
+            step.state.trials_unused.push_back(asked.fingerprint);
+        }
         return;
     }
     auto& exchange = found->second;
-    exchange.trial = permitted ? trial_phase::permitted : trial_phase::refused;
-    step.context.log(make_record(
-        trial_decided, field("request", exchange.request->id),
-        field("host", exchange.request->host),
-        field("target", exchange.request->target), field("arbiter", arbiter),
-        field("permitted", permitted ? 1 : 0)));
-    step.state.to_resume.push_back(token);
+    step.context.log(make_record(trial_decided,
+                                 field("request", exchange.request->id),
+                                 field("host", exchange.request->host),
+                                 field("target", exchange.request->target),
+                                 field("arbiter", asked.arbiter),
+                                 field("permitted", permitted ? 1 : 0)));
+    const auto without = lacks_permission(step, exchange) ? trial_phase::refused
+                                                          : trial_phase::none;
+    exchange.trial = permitted ? trial_phase::permitted : without;
+    step.state.to_resume.push_back(asked.token);
 }
 
 void withdraw_unused(exchange_step& step,
@@ -86,17 +93,18 @@
         }
         const auto of = fingerprint_of(found->second);
         const auto& arbiter = poison::arbiter_of(of, live);
+        const asked_trial asked{token, of, arbiter.name};
         if (&arbiter == &live.front()) {
             const bool permitted =
                 poison::permit_trial(state.settings.trials, state.trials,
                                      state.poison, of, step.context.now);
-            resolve(step, token, permitted, arbiter.name);
+            resolve(step, asked, permitted);
             continue;
         }
-        const auto asked = step.context.shared.new_identifier<exchange_id>();
-        state.trials_asked[asked] = {token, arbiter.name};
+        const auto id = step.context.shared.new_identifier<exchange_id>();
+        state.trials_asked[id] = asked;
         step.context.shared.emit(
-            send_peer_request{asked, arbiter.peer,
+            send_peer_request{id, arbiter.peer,
                               wire::crash_trial_request{poison::report_of(
                                   state.poison, of, step.context.now)},
                               state.settings.trials.arbiter_timeout});
@@ -132,8 +140,7 @@
     const auto* reply =
         event.reply ? std::get_if<wire::crash_trial_reply>(&event.reply.value())
                     : nullptr;
-    resolve(step, asked.token, reply != nullptr && reply->permitted,
-            asked.arbiter);
+    resolve(step, asked, reply != nullptr && reply->permitted);
 }
 
 forward_answer refused_trial_answer(const exchange_step& step, exchange& of)
--- a/libraries/gateway/exchange.hpp
+++ b/libraries/gateway/exchange.hpp
@@ -188,6 +188,7 @@
 // A request to an arbiter that has not been answered yet.
 struct asked_trial {
     caller_token token{};
+    poison::fingerprint fingerprint{};
     std::string arbiter;
 };
 
--- a/tests/gateway/poison_test.cpp
+++ b/tests/gateway/poison_test.cpp
@@ -261,6 +261,31 @@
     BOOST_TEST(poisoned == 4U);
 }
 
+// A caller may leave before the arbiter has answered.
+BOOST_FIXTURE_TEST_CASE(a_permission_that_is_not_used_is_returned,
+                        crashing_fixture)
+{
+    arbiter_answers = false;
+    const auto target = target_judged_by(*this, "entry-2");
+    crash_three_leafs(*this, target);
+    const auto token = send_request(target);
+    settle(milliseconds{20});
+    const auto asked = asked_trials(*this);
+    BOOST_REQUIRE_EQUAL(asked.size(), 1U);
+    feed(caller_disconnected{token});
+    feed(peer_reply_received{
+        asked[0], wire::peer_reply{wire::crash_trial_reply{true, {}}}});
+    const auto returns = [](const bulrushspring::effect& each) {
+        const auto* sent = std::get_if<send_peer_request>(&each);
+        const auto* request =
+            sent == nullptr
+                ? nullptr
+                : std::get_if<wire::crash_trial_request>(&sent->request);
+        return request != nullptr && request->withdrawn;
+    };
+    BOOST_TEST(std::count_if(shared.begin(), shared.end(), returns) == 1);
+}
+
 // Leafs that crash at one moment may have another cause in common.
 BOOST_FIXTURE_TEST_CASE(an_innocent_suspect_is_served_again_after_one_trial,
                         crashing_fixture)
