--- a/libraries/gateway/crash_trials.cpp
+++ b/libraries/gateway/crash_trials.cpp
@@ -29,9 +29,10 @@
                                  field("target", exchange.request->target),
                                  field("arbiter", asked.arbiter),
                                  field("permitted", permitted ? 1 : 0)));
-    const auto without = lacks_permission(step, exchange) ? trial_phase::refused
-                                                          : trial_phase::none;
-    exchange.trial = permitted ? trial_phase::permitted : without;
+    const auto otherwise = lacks_permission(step, exchange)
+                               ? trial_phase::refused
+                               : trial_phase::none;
+    exchange.trial = permitted ? trial_phase::permitted : otherwise;
     step.state.to_resume.push_back(asked.token);
 }
 
--- a/libraries/gateway/gateway.cpp
+++ b/libraries/gateway/gateway.cpp
@@ -320,7 +320,7 @@
     pass_to_topology(self, event, context);
     if (const auto* ack = std::get_if<wire::ack>(&event.message)) {
         note_ack(self.reader_check, ack->sequence,
-                 topology::from_wire(ack->in_force).reads_store, context.now);
+                 topology::from_wire(ack->in_force).reaches_store, context.now);
         self.store_role_due_at =
             std::min(self.store_role_due_at, self.reader_check.due);
     }
--- a/libraries/gateway/reader_check.cpp
+++ b/libraries/gateway/reader_check.cpp
@@ -92,13 +92,13 @@
     }
 }
 
-void note_ack(reader_check& self, std::uint64_t sequence, bool reads_store,
+void note_ack(reader_check& self, std::uint64_t sequence, bool reaches_store,
               boot_time now)
 {
     if (self.unanswered.erase(sequence) == 0) {
         return;
     }
-    if (reads_store) {
+    if (reaches_store) {
         self.readers = reader_state::working;
         wait(self, now);
         return;
--- a/libraries/gateway/reader_check.hpp
+++ b/libraries/gateway/reader_check.hpp
@@ -47,9 +47,9 @@
                     const configuration::reader_selection&,
                     bulrushspring::context&);
 
-// Handles the answer to a probe; others are ignored. `reads_store`: its sender
-// reaches the store.
-void note_ack(reader_check&, std::uint64_t sequence, bool reads_store,
+// Handles the answer to a probe; others are ignored. `reaches_store`: its
+// sender reads the store, and its last call succeeded.
+void note_ack(reader_check&, std::uint64_t sequence, bool reaches_store,
               boot_time now);
 
 } // namespace bulrushspring::gateway
--- a/libraries/topology/digest.cpp
+++ b/libraries/topology/digest.cpp
@@ -7,7 +7,8 @@
 
 constexpr std::uint64_t level_mask = 0xFFFFU;
 constexpr std::uint64_t in_service_bit = 0x10000U;
-constexpr std::uint64_t reads_store_bit = 0x20000U; // ignored by older daemons
+constexpr std::uint64_t reaches_store_bit =
+    0x20000U; // ignored by older daemons
 
 } // namespace
 
@@ -17,7 +18,7 @@
     made.manifest_version = stated.revision;
     made.manifest_hash.high = stated.level |
                               (stated.in_service ? in_service_bit : 0) |
-                              (stated.reads_store ? reads_store_bit : 0);
+                              (stated.reaches_store ? reaches_store_bit : 0);
     made.manifest_hash.low = stated.full_revision;
     made.vms_revision = stated.table_version;
     return made;
@@ -31,8 +32,8 @@
         static_cast<std::uint32_t>(received.manifest_hash.high & level_mask);
     if (stated.level > 0) {
         stated.in_service = (received.manifest_hash.high & in_service_bit) != 0;
-        stated.reads_store =
-            (received.manifest_hash.high & reads_store_bit) != 0;
+        stated.reaches_store =
+            (received.manifest_hash.high & reaches_store_bit) != 0;
         stated.full_revision = received.manifest_hash.low;
         stated.table_version = received.vms_revision;
     }
--- a/libraries/topology/digest.hpp
+++ b/libraries/topology/digest.hpp
@@ -23,7 +23,7 @@
     std::uint64_t full_revision = 0;
     std::uint64_t table_version = 0; // of the table in use; 0: none
     bool in_service = false;         // callers are served by that table
-    bool reads_store = false;        // the store has answered its last call
+    bool reaches_store = false;      // its last call to the store succeeded
 
     bool operator==(const record_digest&) const = default;
 };
--- a/libraries/topology/topology.cpp
+++ b/libraries/topology/topology.cpp
@@ -17,6 +17,13 @@
     return self.role != store_role::none;
 }
 
+// Whether this daemon reads the store, and its last call succeeded.
+bool reaches_store(const state& self)
+{
+    return reads_store(self) && self.last_answer_at != boot_time::min() &&
+           self.failures == 0;
+}
+
 // Exponential backoff up to a maximum, reduced by up to a half at random.
 duration backoff(state& self)
 {
@@ -327,10 +334,7 @@
 wire::digest digest_of(const state& self, bool in_service)
 {
     return to_wire({basic_revision_of(self), protocol_level, self.revision,
-                    table_version_of(self), in_service,
-                    reads_store(self) &&
-                        self.last_answer_at != boot_time::min() &&
-                        self.failures == 0});
+                    table_version_of(self), in_service, reaches_store(self)});
 }
 
 bool has_asked_peer(const state& self)
@@ -349,11 +353,8 @@
 
 bool is_up_to_date(const state& self, boot_time now)
 {
-    if (reads_store(self) &&
-        (self.last_answer_at == boot_time::min() || self.failures > 0)) {
-        return false;
-    }
-    return !lacks_changes(self, now);
+    return (!reads_store(self) || reaches_store(self)) &&
+           !lacks_changes(self, now);
 }
 
 boot_time next_wakeup(const state& self)
--- a/tests/gateway/crashing_fixture.hpp
+++ b/tests/gateway/crashing_fixture.hpp
@@ -99,11 +99,9 @@
         }
     }
 
-    void answer_trials()
+    // Removes the requests to the arbiter from the effects and returns them.
+    std::vector<send_peer_request> take_trial_requests()
     {
-        if (!arbiter_answers) {
-            return;
-        }
         std::vector<send_peer_request> requests;
         std::erase_if(shared, [&](const auto& each) {
             const auto* sent = std::get_if<send_peer_request>(&each);
@@ -115,7 +113,15 @@
             }
             return asks;
         });
-        for (const auto& each : requests) {
+        return requests;
+    }
+
+    void answer_trials()
+    {
+        if (!arbiter_answers) {
+            return;
+        }
+        for (const auto& each : take_trial_requests()) {
             const auto& known =
                 std::get<wire::crash_trial_request>(each.request).known;
             poison::merge(known_to_arbiter, known, clock.now());
--- a/tests/gateway/poison_test.cpp
+++ b/tests/gateway/poison_test.cpp
@@ -199,19 +199,6 @@
     of.shared.clear();
 }
 
-std::vector<exchange_id> asked_trials(crashing_fixture& of)
-{
-    std::vector<exchange_id> asked;
-    for (const auto& each : std::exchange(of.shared, {})) {
-        const auto* sent = std::get_if<send_peer_request>(&each);
-        if (sent != nullptr &&
-            std::holds_alternative<wire::crash_trial_request>(sent->request)) {
-            asked.push_back(sent->exchange);
-        }
-    }
-    return asked;
-}
-
 } // namespace
 
 // BUDGET: a request that had crashed several leafs at one moment reached as
@@ -242,11 +229,13 @@
     }
     settle(milliseconds{20});
     BOOST_TEST(poisoned == 3U);
-    const auto asked = asked_trials(*this);
+    const auto asked = take_trial_requests();
     BOOST_REQUIRE_EQUAL(asked.size(), 3U);
     feed(peer_reply_received{
-        asked[0], wire::peer_reply{wire::crash_trial_reply{false, {}}}});
-    feed(peer_reply_received{asked[1], error{errc::timed_out, "ask", "", ""}});
+        asked[0].exchange,
+        wire::peer_reply{wire::crash_trial_reply{false, {}}}});
+    feed(peer_reply_received{asked[1].exchange,
+                             error{errc::timed_out, "ask", "", ""}});
     settle(milliseconds{20});
     BOOST_TEST(poisoned == 3U);
     BOOST_REQUIRE_EQUAL(answers.size(), 2U);
@@ -256,7 +245,8 @@
             (each.answer.retry_after == settings.exchanges.trials.retry_after));
     }
     feed(peer_reply_received{
-        asked[2], wire::peer_reply{wire::crash_trial_reply{true, {}}}});
+        asked[2].exchange,
+        wire::peer_reply{wire::crash_trial_reply{true, {}}}});
     settle(milliseconds{500});
     BOOST_TEST(poisoned == 4U);
 }
@@ -270,20 +260,16 @@
     crash_three_leafs(*this, target);
     const auto token = send_request(target);
     settle(milliseconds{20});
-    const auto asked = asked_trials(*this);
+    const auto asked = take_trial_requests();
     BOOST_REQUIRE_EQUAL(asked.size(), 1U);
     feed(caller_disconnected{token});
     feed(peer_reply_received{
-        asked[0], wire::peer_reply{wire::crash_trial_reply{true, {}}}});
-    const auto returns = [](const bulrushspring::effect& each) {
-        const auto* sent = std::get_if<send_peer_request>(&each);
-        const auto* request =
-            sent == nullptr
-                ? nullptr
-                : std::get_if<wire::crash_trial_request>(&sent->request);
-        return request != nullptr && request->withdrawn;
-    };
-    BOOST_TEST(std::count_if(shared.begin(), shared.end(), returns) == 1);
+        asked[0].exchange,
+        wire::peer_reply{wire::crash_trial_reply{true, {}}}});
+    const auto returned = take_trial_requests();
+    BOOST_REQUIRE_EQUAL(returned.size(), 1U);
+    BOOST_TEST(
+        std::get<wire::crash_trial_request>(returned[0].request).withdrawn);
 }
 
 // Leafs that crash at one moment may have another cause in common.
--- a/tests/gateway/reader_check_test.cpp
+++ b/tests/gateway/reader_check_test.cpp
@@ -14,7 +14,7 @@
     std::vector<wire::member_record> others;
     std::size_t probed = 0; // pings to other daemons
     std::size_t store_calls = 0;
-    bool reads_store = true; // what the others state
+    bool reaches_store = true; // what the others state
     bool silent = false;
 
     reader_fixture()
@@ -55,7 +55,7 @@
                 ack.from = each;
                 topology::record_digest stated;
                 stated.level = topology::protocol_level;
-                stated.reads_store = reads_store;
+                stated.reaches_store = reaches_store;
                 ack.in_force = topology::to_wire(stated);
                 feed(datagram_received{from, ack});
             }
@@ -123,7 +123,7 @@
 BOOST_FIXTURE_TEST_CASE(the_store_is_read_if_no_reader_reaches_it,
                         reader_fixture)
 {
-    reads_store = false;
+    reaches_store = false;
     run(milliseconds{2000});
     BOOST_TEST(store_calls >= 1U);
 }
